--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+SEED ?= 1
+SECONDS ?= 240
+
+.PHONY: install run smoke test format lint types check prove bench-requests bench-policy slopes
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[dev]'
+	touch $@
+
+run: install
+	$(BIN)/python -m bench.cluster
+
+smoke: install
+	$(BIN)/python -m bench.smoke
+
+test: install
+	$(BIN)/python -W "error:coroutine:RuntimeWarning" -m bench.run_tests
+
+format: install
+	$(BIN)/ruff format --check src bench tests
+
+lint: install
+	$(BIN)/ruff check src bench tests
+
+types: install
+	$(BIN)/mypy
+
+check: format lint types test
+
+prove: install
+	$(BIN)/python -m bench.prove --seed $(SEED) --seconds $(SECONDS)
+
+bench-requests: install
+	$(BIN)/python -m bench.requests --seed $(SEED)
+
+bench-policy: install
+	$(BIN)/python -m bench.policy --seed $(SEED)
+
+slopes: install
+	$(BIN)/python -m bench.slopes
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and benches; never imported by the daemons."""
--- /dev/null
+++ b/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Bench of the placement policy."""
--- /dev/null
+++ b/bench/prove/__init__.py
@@ -0,0 +1,1 @@
+"""Proofs of the guarantees under injected failures."""
--- /dev/null
+++ b/bench/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform."""
--- /dev/null
+++ b/src/egretcrank/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/egretcrank/clock.py
@@ -0,0 +1,35 @@
+"""Time as a dependency that is passed in."""
+
+import asyncio
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of wall-clock time, monotonic time and delays."""
+
+    def now(self) -> datetime:
+        """Return the current time in UTC, which may jump."""
+
+    def monotonic(self) -> timedelta:
+        """Return a time that never goes backwards, from an arbitrary origin."""
+
+    async def sleep(self, delay: timedelta) -> None:
+        """Wait for ``delay``."""
+
+
+class SystemClock:
+    """Clock of the operating system."""
+
+    def now(self) -> datetime:
+        """Return the current time in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic(self) -> timedelta:
+        """Return the monotonic time of the operating system."""
+        return timedelta(seconds=time.monotonic())
+
+    async def sleep(self, delay: timedelta) -> None:
+        """Wait for ``delay`` without blocking the event loop."""
+        await asyncio.sleep(max(0.0, delay.total_seconds()))
--- /dev/null
+++ b/src/egretcrank/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon."""
--- /dev/null
+++ b/src/egretcrank/errors/__init__.py
@@ -0,0 +1,1 @@
+"""Error kinds and their answers."""
--- /dev/null
+++ b/src/egretcrank/errors/answers.py
@@ -0,0 +1,88 @@
+"""Table from error kind to the HTTP answer that a caller receives."""
+
+from enum import StrEnum
+from typing import NamedTuple, TypedDict
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+
+
+class Ran(StrEnum):
+    """Whether the upstream ran a request."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class Answer(NamedTuple):
+    """HTTP status of an error kind and whether the request ran."""
+
+    status: int
+    ran: Ran
+
+
+class ErrorBody(TypedDict):
+    """JSON body of an error answer."""
+
+    kind: str
+    ran: str
+    detail: str
+    where: str
+    expected: str
+    request_id: str
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, Ran.NO),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, Ran.NO),
+    ErrorKind.UNKNOWN_CUSTOMER: Answer(403, Ran.NO),
+    ErrorKind.KEY_REQUIRED: Answer(400, Ran.NO),
+    ErrorKind.KEY_REUSED: Answer(422, Ran.NO),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO),
+    ErrorKind.NOT_FOUND: Answer(404, Ran.NO),
+    ErrorKind.OVERLOADED: Answer(503, Ran.NO),
+    ErrorKind.QUOTA_EXCEEDED: Answer(429, Ran.NO),
+    ErrorKind.NO_UPSTREAM: Answer(503, Ran.NO),
+    ErrorKind.NO_OWNER: Answer(503, Ran.NO),
+    ErrorKind.NOT_OWNER: Answer(503, Ran.NO),
+    ErrorKind.STARTING: Answer(503, Ran.NO),
+    ErrorKind.LEAVING: Answer(503, Ran.NO),
+    ErrorKind.STALE_EPOCH: Answer(503, Ran.NO),
+    ErrorKind.SESSION_ENDED: Answer(503, Ran.NO),
+    ErrorKind.WRONG_INCARNATION: Answer(503, Ran.NO),
+    ErrorKind.TOMBSTONED: Answer(503, Ran.NO),
+    ErrorKind.NO_CAPACITY: Answer(503, Ran.NO),
+    ErrorKind.CANNOT_RUN: Answer(422, Ran.NO),
+    ErrorKind.DEADLINE_BEFORE_START: Answer(504, Ran.NO),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(504, Ran.UNKNOWN),
+    ErrorKind.UPSTREAM_FAILED: Answer(502, Ran.UNKNOWN),
+    ErrorKind.LOG_UNAVAILABLE: Answer(503, Ran.NO),
+    ErrorKind.STALE_BASE: Answer(409, Ran.NO),
+    ErrorKind.OVERRIDDEN: Answer(409, Ran.NO),
+    ErrorKind.INVALID_LIST: Answer(422, Ran.NO),
+    ErrorKind.INVALID_SETTINGS: Answer(400, Ran.NO),
+    ErrorKind.INVALID_RECORD: Answer(500, Ran.UNKNOWN),
+    ErrorKind.INVALID_MESSAGE: Answer(500, Ran.UNKNOWN),
+    ErrorKind.UNSUPPORTED_MESSAGE: Answer(501, Ran.NO),
+    ErrorKind.DUPLICATE_CALL: Answer(500, Ran.UNKNOWN),
+    ErrorKind.UNREACHABLE: Answer(503, Ran.NO),
+    ErrorKind.CALL_TIMEOUT: Answer(504, Ran.UNKNOWN),
+    ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN),
+}
+
+
+def was_not_run(kind: ErrorKind) -> bool:
+    """Tell whether ``kind`` proves that the request did not run."""
+    return ANSWERS[kind].ran is Ran.NO
+
+
+def build_error_body(problem: Problem, request_id: str) -> ErrorBody:
+    """Build the JSON body that reports ``problem`` to a caller."""
+    return ErrorBody(
+        kind=problem.kind.value,
+        ran=ANSWERS[problem.kind].ran.value,
+        detail=problem.detail,
+        where=problem.where,
+        expected=problem.expected,
+        request_id=request_id,
+    )
--- /dev/null
+++ b/src/egretcrank/host/__init__.py
@@ -0,0 +1,1 @@
+"""Execution on the local upstream and worker."""
--- /dev/null
+++ b/src/egretcrank/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""Claims and outcomes of idempotency keys."""
--- /dev/null
+++ b/src/egretcrank/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Batch jobs and tasks."""
--- /dev/null
+++ b/src/egretcrank/lists/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' two lists."""
--- /dev/null
+++ b/src/egretcrank/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members and their announcements."""
--- /dev/null
+++ b/src/egretcrank/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, decision records and metrics."""
--- /dev/null
+++ b/src/egretcrank/observability/metrics.py
@@ -0,0 +1,76 @@
+"""Metrics of a process, rendered in the Prometheus text format."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BUCKETS_SECONDS = [
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+]  # fmt: skip
+
+
+class Metrics:
+    """The metrics of one process, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self.requests = Counter(
+            "egretcrank_requests_total",
+            "Requests by service and result (ok or an error kind).",
+            registry=self._registry,
+        )
+        self.request_seconds = Histogram(
+            "egretcrank_request_seconds",
+            "Time to answer a request by service.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.attempts = Counter(
+            "egretcrank_attempts_total",
+            "Attempts on upstreams by service and result.",
+            registry=self._registry,
+        )
+        self.refusals = Counter(
+            "egretcrank_refusals_total",
+            "Refused input by source and error kind.",
+            registry=self._registry,
+        )
+        self.tasks = Counter(
+            "egretcrank_tasks_total",
+            "Task transitions by state.",
+            registry=self._registry,
+        )
+        self.log_appends = Counter(
+            "egretcrank_log_appends_total",
+            "Appends to the log by stream and result.",
+            registry=self._registry,
+        )
+        self.log_records = Counter(
+            "egretcrank_log_records_total",
+            "Records folded by stream and result (valid or void).",
+            registry=self._registry,
+        )
+        self.members = Gauge(
+            "egretcrank_members",
+            "Members by liveness.",
+            registry=self._registry,
+        )
+        self.partitions_owned = Gauge(
+            "egretcrank_partitions_owned",
+            "Partitions that this process owns.",
+            registry=self._registry,
+        )
+        self.lists_revision = Gauge(
+            "egretcrank_lists_revision",
+            "Revision of the lists in force.",
+            registry=self._registry,
+        )
+        self.in_flight = Gauge(
+            "egretcrank_in_flight",
+            "Requests in flight.",
+            registry=self._registry,
+        )
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Return the body and headers for an HTTP answer."""
+        body, headers = render(self._registry, [accept])
+        return body, dict(headers)
--- /dev/null
+++ b/src/egretcrank/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""Owners of partitions."""
--- /dev/null
+++ b/src/egretcrank/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on batch work."""
--- /dev/null
+++ b/src/egretcrank/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of upstream, retry budget and admission."""
--- /dev/null
+++ b/src/egretcrank/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemons."""
--- /dev/null
+++ b/src/egretcrank/settings/parser.py
@@ -0,0 +1,278 @@
+"""Reading of settings from INI, with every error reported at once."""
+
+import configparser
+import dataclasses
+import difflib
+import ipaddress
+import math
+from collections.abc import Mapping
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.settings.schema import (
+    ClusterSettings,
+    EntrySettings,
+    Kind,
+    LogOutage,
+    LogSettings,
+    ProcessSettings,
+    Rule,
+    ServiceSettings,
+    Settings,
+    UpstreamSettings,
+    WorkerSettings,
+)
+
+SectionT = TypeVar("SectionT")
+
+SERVICE_PREFIX = "service "
+SECTIONS: Mapping[str, type[Any]] = {
+    "process": ProcessSettings,
+    "log": LogSettings,
+    "cluster": ClusterSettings,
+    "entry": EntrySettings,
+    "upstream": UpstreamSettings,
+    "worker": WorkerSettings,
+}
+
+
+def load_settings(path: Path, role: str) -> Result[Settings, tuple[Problem, ...]]:
+    """Read the settings file of a process whose role is ``entry`` or ``sidecar``."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return Failure((_report(str(path), f"cannot be read: {error}", "a text file"),))
+    return parse_settings(text, str(path), role)
+
+
+def parse_settings(
+    text: str, source: str, role: str
+) -> Result[Settings, tuple[Problem, ...]]:
+    """Check settings as a whole; the failure lists every error found."""
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        return Failure((_report(source, str(error), "INI sections and keys"),))
+    reader = _SettingsReader(parser, source)
+    settings = reader.read_all(role)
+    if reader.problems:
+        return Failure(tuple(reader.problems))
+    return Success(settings)
+
+
+def list_rules(section: type[Any]) -> dict[str, tuple[Rule, Any]]:
+    """List the settings of a section with rule and default, for the reference page."""
+    return {
+        f.name: (f.metadata["rule"], f.default)
+        for f in dataclasses.fields(section)
+        if "rule" in f.metadata
+    }
+
+
+def _report(where: str, detail: str, expected: str) -> Problem:
+    return Problem(ErrorKind.INVALID_SETTINGS, detail, where, expected)
+
+
+class _SettingsReader:
+    """Reads sections and collects problems."""
+
+    def __init__(self, parser: configparser.ConfigParser, source: str) -> None:
+        self._parser = parser
+        self._source = source
+        self.problems: list[Problem] = []
+
+    def read_all(self, role: str) -> Settings:
+        """Read every section; sections that the role needs must be present."""
+        self._check_section_names()
+        services = {
+            name: self._read_service(name)
+            for name in (
+                s.removeprefix(SERVICE_PREFIX).strip()
+                for s in self._parser.sections()
+                if s.startswith(SERVICE_PREFIX)
+            )
+        }
+        settings = Settings(
+            process=self._read("process", ProcessSettings, True),
+            log=self._read("log", LogSettings, True),
+            cluster=self._read("cluster", ClusterSettings, True),
+            entry=self._read("entry", EntrySettings, role == "entry"),
+            upstream=self._read("upstream", UpstreamSettings, False),
+            worker=self._read("worker", WorkerSettings, False),
+            services=services,
+        )
+        self._check_relations(settings)
+        return settings
+
+    def _check_section_names(self) -> None:
+        known = sorted(SECTIONS)
+        for section in self._parser.sections():
+            if section in SECTIONS or section.startswith(SERVICE_PREFIX):
+                continue
+            self._add(section, "", "section is not known", _suggest(section, known))
+
+    def _read(self, name: str, kind: type[SectionT], needed: bool) -> SectionT:
+        if not self._parser.has_section(name):
+            if needed:
+                self._add(name, "", "section is missing", f"a section [{name}]")
+            return kind()
+        return kind(**self._read_values(name, kind))
+
+    def _read_service(self, name: str) -> ServiceSettings:
+        section = next(
+            s
+            for s in self._parser.sections()
+            if s.startswith(SERVICE_PREFIX)
+            and s.removeprefix(SERVICE_PREFIX).strip() == name
+        )
+        if not name:
+            self._add(section, "", "service has no name", "[service NAME]")
+        values = self._read_values(section, ServiceSettings)
+        values.setdefault("path", f"/{name}")
+        return ServiceSettings(name, **values)
+
+    def _read_values(self, section: str, kind: type[Any]) -> dict[str, Any]:
+        rules = list_rules(kind)
+        values: dict[str, Any] = {}
+        for key, text in self._parser.items(section):
+            if key not in rules:
+                self._add(section, key, "key is not known", _suggest(key, list(rules)))
+                continue
+            rule, _ = rules[key]
+            match _read_value(text.strip(), rule):
+                case Success(value):
+                    values[key] = value
+                case Failure(expected):
+                    self._add(section, key, f"value {text!r} is not valid", expected)
+        for key, (rule, _) in rules.items():
+            if rule.required and not self._parser.has_option(section, key):
+                self._add(section, key, "key is missing", _describe(rule))
+        return values
+
+    def _check_relations(self, settings: Settings) -> None:
+        cluster = settings.cluster
+        if cluster.suspect_seconds >= cluster.dead_seconds:
+            self._add(
+                "cluster",
+                "suspect_seconds",
+                "not below dead_seconds",
+                "a value below dead_seconds",
+            )
+        if cluster.announce_seconds * 2 > cluster.suspect_seconds:
+            self._add(
+                "cluster",
+                "announce_seconds",
+                "above half of suspect_seconds",
+                "at most half of suspect_seconds, so that one lost message is harmless",
+            )
+        if cluster.shards > cluster.partitions:
+            self._add("cluster", "shards", "above partitions", "at most partitions")
+        for service in settings.upstream.services:
+            if service not in settings.services:
+                self._add(
+                    "upstream",
+                    "services",
+                    f"service {service!r} has no section",
+                    f"a section [service {service}]",
+                )
+
+    def _add(self, section: str, key: str, detail: str, expected: str) -> None:
+        where = f"{self._source} [{section}]" + (f" {key}" if key else "")
+        self.problems.append(_report(where, detail, expected))
+
+
+def _suggest(name: str, known: list[str]) -> str:
+    close = difflib.get_close_matches(name, known, n=1)
+    if close:
+        return f"did you mean {close[0]!r}?"
+    return "one of " + ", ".join(known)
+
+
+def _describe(rule: Rule) -> str:
+    match rule.kind:
+        case Kind.INTEGER | Kind.NUMBER | Kind.SECONDS:
+            return f"{rule.kind} from {rule.minimum:g} to {rule.maximum:g}"
+        case Kind.ADDRESS:
+            return "an IP number and a port, as in 127.0.0.1:7000"
+        case Kind.ADDRESSES:
+            return "IP numbers with ports, separated by commas"
+        case Kind.BOOLEAN:
+            return "yes or no"
+        case Kind.NAMES:
+            return "names separated by commas"
+        case _:
+            return str(rule.kind)
+
+
+def _read_value(text: str, rule: Rule) -> Result[Any, str]:
+    value = _convert(text, rule.kind)
+    if value is None:
+        return Failure(_describe(rule))
+    if isinstance(value, timedelta):
+        number = value.total_seconds()
+    elif isinstance(value, int | float):
+        number = value
+    else:
+        return Success(value)
+    if not rule.minimum <= number <= rule.maximum:
+        return Failure(_describe(rule))
+    return Success(value)
+
+
+def _convert(text: str, kind: Kind) -> Any:
+    match kind:
+        case Kind.TEXT:
+            return text or None
+        case Kind.ADDRESS:
+            return text if _is_address(text) else None
+        case Kind.ADDRESSES:
+            parts = _split(text)
+            return parts if parts and all(map(_is_address, parts)) else None
+        case Kind.NAMES:
+            return _split(text)
+        case Kind.BOOLEAN:
+            return configparser.ConfigParser.BOOLEAN_STATES.get(text.lower())
+        case Kind.LOG_OUTAGE:
+            return next((o for o in LogOutage if o.value == text), None)
+        case Kind.INTEGER:
+            return _to_integer(text)
+        case Kind.NUMBER:
+            return _to_number(text)
+        case Kind.SECONDS:
+            number = _to_number(text)
+            return None if number is None else timedelta(seconds=number)
+
+
+def _split(text: str) -> tuple[str, ...]:
+    return tuple(part.strip() for part in text.split(",") if part.strip())
+
+
+def _to_integer(text: str) -> int | None:
+    try:
+        return int(text)
+    except ValueError:
+        return None
+
+
+def _to_number(text: str) -> float | None:
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and abs(number) <= 1e12 else None
+
+
+def _is_address(text: str) -> bool:
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdecimal() or not 0 < int(port) < 65536:
+        return False
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/src/egretcrank/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar daemon."""
--- /dev/null
+++ b/src/egretcrank/stream/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of the platform's log service."""
--- /dev/null
+++ b/src/egretcrank/stream/snapshots.py
@@ -0,0 +1,102 @@
+"""Snapshots of a folded stream: building, splitting and reassembling them."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+from uuid import uuid4
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.stream.records import SnapshotChunk
+
+CHUNK_BYTES = 48 * 1024
+
+
+class FoldedState(NamedTuple):
+    """State of a stream after the record at offset ``through``."""
+
+    through: int
+    digest: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StateBody:
+    """Content of a snapshot: the fold's state and the record identifiers seen last."""
+
+    state: bytes
+    recent_ids: tuple[str, ...] = ()
+
+
+def build_state(through: int, body: StateBody) -> FoldedState:
+    """Encode a state and compute its digest."""
+    data = msgspec.msgpack.encode(body)
+    return FoldedState(through, xxhash.xxh64_hexdigest(data), data)
+
+
+def read_state(state: FoldedState) -> Result[StateBody, Problem]:
+    """Check the digest of a state and decode it."""
+    if xxhash.xxh64_hexdigest(state.data) != state.digest:
+        return Failure(
+            Problem(
+                ErrorKind.INVALID_RECORD,
+                f"digest of the state through offset {state.through} does not match",
+                "snapshot",
+            )
+        )
+    try:
+        return Success(msgspec.msgpack.decode(state.data, type=StateBody))
+    except msgspec.MsgspecError as error:
+        return Failure(
+            Problem(
+                ErrorKind.INVALID_RECORD, f"state is malformed: {error}", "snapshot"
+            )
+        )
+
+
+def split_state(state: FoldedState) -> tuple[SnapshotChunk, ...]:
+    """Split a state into records of bounded size."""
+    pieces = [
+        state.data[start : start + CHUNK_BYTES]
+        for start in range(0, len(state.data), CHUNK_BYTES)
+    ] or [b""]
+    snapshot_id = uuid4().hex
+    return tuple(
+        SnapshotChunk(
+            snapshot_id=snapshot_id,
+            through=state.through,
+            index=index,
+            count=len(pieces),
+            digest=state.digest,
+            data=piece,
+        )
+        for index, piece in enumerate(pieces)
+    )
+
+
+class SnapshotAssembler:
+    """Collects chunks until one snapshot is complete."""
+
+    def __init__(self) -> None:
+        self._parts: dict[str, dict[int, SnapshotChunk]] = {}
+
+    def add(self, chunk: SnapshotChunk) -> FoldedState | None:
+        """Add a chunk and return the state if that completes it."""
+        parts = self._parts.setdefault(chunk.snapshot_id, {})
+        parts[chunk.index] = chunk
+        if len(parts) < chunk.count:
+            return None
+        del self._parts[chunk.snapshot_id]
+        return FoldedState(chunk.through, chunk.digest, _join(parts))
+
+    def clear(self) -> None:
+        """Forget incomplete snapshots."""
+        self._parts.clear()
+
+
+def _join(parts: dict[int, SnapshotChunk]) -> bytes:
+    ordered: Sequence[int] = sorted(parts)
+    return b"".join(parts[index].data for index in ordered)
--- /dev/null
+++ b/src/egretcrank/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Request and reply between processes, and the bridge to threads."""
--- /dev/null
+++ b/src/egretcrank/transport/server.py
@@ -0,0 +1,107 @@
+"""Server side of the inner protocol: one task for each pynng context."""
+
+import asyncio
+import logging
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+
+import pynng
+from returns.result import Failure, Success
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.wire.codec import Delivery, build_refusal, decode, encode
+from egretcrank.wire.messages import Acknowledged, Message, Ping
+
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+REMEMBERED_CALLS = 4096
+
+Handler = Callable[[Message, str], Awaitable[Message]]
+
+logger = logging.getLogger(__name__)
+
+
+class Server:
+    """Listens on one address and answers each call with the handler's reply."""
+
+    def __init__(
+        self, name: str, address: str, contexts: int, handler: Handler
+    ) -> None:
+        self._name = name
+        self._handler = handler
+        self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        self._socket.listen(f"tcp://{address}")
+        self._calls: OrderedDict[str, None] = OrderedDict()
+        self._busy = 0
+        self._closing = False
+        self._contexts = [self._socket.new_context() for _ in range(contexts)]
+        self._tasks = [asyncio.create_task(self._serve(c)) for c in self._contexts]
+
+    @property
+    def busy(self) -> int:
+        """Number of calls that are being handled."""
+        return self._busy
+
+    async def _serve(self, context: "pynng.Context") -> None:
+        while not self._closing:
+            try:
+                data = await context.arecv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                logger.warning("receive failed", extra={"error": str(error)})
+                continue
+            self._busy += 1
+            try:
+                reply, call_id = await self._answer(data)
+                await context.asend(encode(reply, call_id, self._name))
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                logger.warning("reply failed", extra={"error": str(error)})
+            finally:
+                self._busy -= 1
+
+    async def _answer(self, data: bytes) -> tuple[Message, str]:
+        match decode(data):
+            case Success(Delivery(message, call_id, sent_by)):
+                return await self._handle(message, call_id, sent_by), call_id
+            case Failure(problem):
+                logger.warning("message refused", extra={"problem": problem.detail})
+                return build_refusal(problem), ""
+        raise AssertionError("unreachable")
+
+    async def _handle(self, message: Message, call_id: str, sent_by: str) -> Message:
+        if isinstance(message, Ping):
+            return Acknowledged()
+        if not self._remember(call_id):
+            # A request socket may send a call again after a reconnect.
+            return build_refusal(
+                Problem(ErrorKind.DUPLICATE_CALL, f"call {call_id} was received before")
+            )
+        try:
+            return await self._handler(message, sent_by)
+        except Exception:
+            logger.exception(
+                "handler failed", extra={"message_kind": type(message).__name__}
+            )
+            return build_refusal(
+                Problem(ErrorKind.INTERNAL, f"handling {type(message).__name__} failed")
+            )
+
+    def _remember(self, call_id: str) -> bool:
+        if call_id in self._calls:
+            return False
+        self._calls[call_id] = None
+        if len(self._calls) > REMEMBERED_CALLS:
+            self._calls.popitem(last=False)
+        return True
+
+    async def close(self) -> None:
+        """Stop serving; contexts close before their socket, as pynng requires."""
+        self._closing = True
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for context in self._contexts:
+            context.close()
+        self._socket.close()
--- /dev/null
+++ b/src/egretcrank/transport/threads.py
@@ -0,0 +1,46 @@
+"""The one bridge between threads (HTTP) and the asyncio event loop."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from datetime import timedelta
+from typing import Any, TypeVar
+
+from returns.result import Failure, Result, Success
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+
+T = TypeVar("T")
+
+
+class ThreadBridge:
+    """Runs blocking calls on a bounded pool, and coroutines on behalf of threads."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, threads: int) -> None:
+        self._loop = loop
+        self._executor = ThreadPoolExecutor(threads, thread_name_prefix="blocking")
+
+    async def run_blocking(self, function: Callable[..., T], *arguments: Any) -> T:
+        """Run a blocking function on the pool and wait for its result."""
+        return await self._loop.run_in_executor(self._executor, function, *arguments)
+
+    def run_on_loop(
+        self, coroutine: Coroutine[Any, Any, T], timeout: timedelta
+    ) -> Result[T, Problem]:
+        """Run a coroutine on the loop from another thread, for ``timeout`` at most."""
+        future = asyncio.run_coroutine_threadsafe(coroutine, self._loop)
+        try:
+            return Success(future.result(timeout.total_seconds()))
+        except FutureTimeoutError:
+            future.cancel()
+            return Failure(
+                Problem(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    f"no result within {timeout.total_seconds():.1f} s",
+                )
+            )
+
+    def close(self) -> None:
+        """Stop taking calls; calls that run are not waited for."""
+        self._executor.shutdown(wait=False, cancel_futures=True)
--- /dev/null
+++ b/src/egretcrank/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between the system's processes and their encoding."""
