Serve requests end to end through entry and sidecar processes

Cause: there was no path from a caller to an upstream. Change: membership by announcements, ownership of partitions with epochs and fences, claims of idempotency keys in the log with read-back, execution within slots, held claims during a log outage, and a runner with stand-ins.

--- /dev/null
+++ b/bench/standins/upstream.py
@@ -0,0 +1,119 @@
+"""Stand-in of an upstream service with slots, as a process with an HTTP interface.
+
+It answers a POST to any path after a service time with a body that names the request,
+and keeps a history of what it ran for the checks of tests and benches.
+"""
+
+import argparse
+import json
+import random
+import threading
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, TypedDict
+
+from cheroot.wsgi import Server
+
+THREADS_BEYOND_SLOTS = 16
+
+
+class Run(TypedDict):
+    """One request that ran."""
+
+    path: str
+    customer: str
+    body: str
+    started: float
+    ended: float
+
+
+class Upstream:
+    """Runs requests; more than ``slots`` at a time are counted as a violation."""
+
+    def __init__(self, slots: int, service_seconds: float, seed: int) -> None:
+        self._slots = slots
+        self._service_seconds = service_seconds
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._running = 0
+        self._history: list[Run] = []
+        self._overruns = 0
+        self._delay = 0.0
+
+    def __call__(
+        self, environ: dict[str, Any], start: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length) if length else b""
+        path = environ["PATH_INFO"]
+        if path == "/history":
+            return _send(start, self._describe(), {})
+        if path == "/faults":
+            self._delay = float(json.loads(body).get("delay_seconds", 0.0))
+            return _send(start, {"delay_seconds": self._delay}, {})
+        request_id = environ.get("HTTP_X_REQUEST_ID", "")
+        customer = environ.get("HTTP_X_CUSTOMER", "")
+        self._run(path, customer, body.decode(errors="replace"))
+        answer = {"path": path, "customer": customer, "echo": body.decode()}
+        return _send(start, answer, {"X-Request-Id": request_id})
+
+    def _run(self, path: str, customer: str, body: str) -> None:
+        with self._lock:
+            self._running += 1
+            self._overruns += self._running > self._slots
+            spread = self._random.uniform(0.5, 1.5)
+        started = time.monotonic()
+        time.sleep(self._service_seconds * spread + self._delay)
+        with self._lock:
+            self._running -= 1
+            self._history.append(
+                Run(
+                    path=path,
+                    customer=customer,
+                    body=body,
+                    started=started,
+                    ended=time.monotonic(),
+                )
+            )
+
+    def _describe(self) -> dict[str, Any]:
+        with self._lock:
+            return {"runs": list(self._history), "overruns": self._overruns}
+
+
+def _send(
+    start: Callable[..., Any], document: Any, headers: dict[str, str]
+) -> Iterable[bytes]:
+    body = json.dumps(document).encode()
+    start(
+        "200 OK",
+        [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+            *headers.items(),
+        ],
+    )
+    return [body]
+
+
+def main() -> None:
+    """Serve until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--slots", type=int, default=8)
+    parser.add_argument("--service-seconds", type=float, default=0.02)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args()
+    host, _, port = options.address.rpartition(":")
+    upstream = Upstream(options.slots, options.service_seconds, options.seed)
+    threads = options.slots + THREADS_BEYOND_SLOTS
+    server = Server((host, int(port)), upstream, numthreads=threads, max=threads)
+    try:
+        server.start()
+    except KeyboardInterrupt:
+        server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/egretcrank/membership/announcer.py
@@ -0,0 +1,148 @@
+"""Announcements of a sidecar to all entries, and the table that it gets back."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import replace
+from datetime import timedelta
+
+from returns.result import Failure, Success
+
+from egretcrank.clock import Clock
+from egretcrank.membership.directory import ALIVE, DEAD, SUSPECT, UNREACHABLE
+from egretcrank.settings.schema import ClusterSettings
+from egretcrank.transport.client import Peers
+from egretcrank.wire.messages import Announce, AnnounceReply, Member, MemberStatus
+
+# Of several entries' judgements the most hopeful one counts: a member that one entry
+# hears is alive, whatever the others miss.
+_PREFERENCE = {ALIVE: 0, SUSPECT: 1, UNREACHABLE: 2, DEAD: 3}
+
+logger = logging.getLogger(__name__)
+
+
+class _EntryView:
+    """What one entry told, and when."""
+
+    def __init__(self) -> None:
+        self.instance = ""
+        self.version = 0
+        self.members: dict[str, MemberStatus] = {}
+        self.heard_at: timedelta | None = None
+        self.owners_offset = -1
+        self.lists_offset = -1
+
+
+class Announcer:
+    """Announces this host, with one task for each entry."""
+
+    def __init__(
+        self,
+        describe: Callable[[], Member],
+        settings: ClusterSettings,
+        peers: Peers,
+        clock: Clock,
+    ) -> None:
+        self._describe = describe
+        self._settings = settings
+        self._peers = peers
+        self._clock = clock
+        self._sequence = 0
+        self._views = {address: _EntryView() for address in settings.entries}
+
+    async def run(self) -> None:
+        """Announce until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for address in self._views:
+                group.create_task(self._announce_to(address))
+
+    async def announce_now(self) -> None:
+        """Announce to every entry once, for example that this host leaves."""
+        await asyncio.gather(*(self._announce_once(a) for a in self._views))
+
+    async def _announce_to(self, address: str) -> None:
+        while True:
+            await self._announce_once(address)
+            await self._clock.sleep(self._settings.announce_seconds)
+
+    async def _announce_once(self, address: str) -> None:
+        view = self._views[address]
+        self._sequence += 1
+        member = replace(self._describe(), sequence=self._sequence)
+        announcement = Announce(member, view.instance, view.version)
+        sent_at = self._clock.monotonic()
+        reply = await self._peers.call(
+            address, announcement, self._settings.suspect_seconds
+        )
+        match reply:
+            case Success(AnnounceReply() as answer):
+                self._merge(view, answer, sent_at)
+            case Failure(problem):
+                logger.debug("announcement failed", extra={"detail": problem.detail})
+
+    def _merge(
+        self, view: _EntryView, reply: AnnounceReply, sent_at: timedelta
+    ) -> None:
+        if reply.full or reply.entry != view.instance:
+            view.members.clear()
+        view.members.update({s.member.host: s for s in reply.changed})
+        for host in reply.removed:
+            view.members.pop(host, None)
+        view.instance = reply.entry
+        view.version = reply.version
+        view.owners_offset = reply.owners_offset
+        view.lists_offset = reply.lists_offset
+        # The answer may have been true only when the call was sent.
+        view.heard_at = sent_at
+
+    def _list_fresh_views(self, age: timedelta) -> list[_EntryView]:
+        now = self._clock.monotonic()
+        return [
+            view
+            for view in self._views.values()
+            if view.heard_at is not None and now - view.heard_at < age
+        ]
+
+    def list_members(self) -> tuple[MemberStatus, ...]:
+        """Return the members by host, as the entries that answer see them."""
+        merged: dict[str, MemberStatus] = {}
+        for view in self._list_fresh_views(self._settings.dead_seconds):
+            for host, status in view.members.items():
+                known = merged.get(host)
+                if known is None or _prefer(status, known):
+                    merged[host] = status
+        return tuple(merged[host] for host in sorted(merged))
+
+    def reaches_majority(self, age: timedelta, owners_offset: int) -> bool:
+        """Tell whether most entries answered within ``age`` and none is ahead of us.
+
+        ``owners_offset`` is the next offset of the ``owners`` stream that we read.
+        """
+        fresh = self._list_fresh_views(age)
+        if any(view.owners_offset > owners_offset for view in fresh):
+            return False
+        return len(fresh) * 2 > len(self._views)
+
+    def majority_has_folded(self, owners_offset: int) -> bool:
+        """Tell whether most entries have folded ``owners`` past ``owners_offset``."""
+        folded = [v for v in self._views.values() if v.owners_offset > owners_offset]
+        return len(folded) * 2 > len(self._views)
+
+    @property
+    def entries_heard(self) -> int:
+        """Number of entries that answered recently."""
+        return len(self._list_fresh_views(self._settings.dead_seconds))
+
+
+def _prefer(status: MemberStatus, known: MemberStatus) -> bool:
+    incarnation, known_incarnation = (
+        status.member.incarnation,
+        known.member.incarnation,
+    )
+    if incarnation != known_incarnation:
+        return incarnation > known_incarnation
+    preference = _PREFERENCE.get(status.liveness, 3)
+    known_preference = _PREFERENCE.get(known.liveness, 3)
+    if preference != known_preference:
+        return preference < known_preference
+    return status.member.sequence > known.member.sequence
--- /dev/null
+++ b/src/egretcrank/membership/directory.py
@@ -0,0 +1,157 @@
+"""Table of members as an entry sees it, filled by announcements."""
+
+from collections import Counter
+from datetime import timedelta
+from typing import NamedTuple
+
+from egretcrank.clock import Clock
+from egretcrank.settings.schema import ClusterSettings
+from egretcrank.wire.messages import Announce, AnnounceReply, Member, MemberStatus
+
+ALIVE = "alive"
+SUSPECT = "suspect"
+UNREACHABLE = "unreachable"
+DEAD = "dead"
+
+LOAD_REFRESH = timedelta(seconds=2)
+FORGET_AFTER = timedelta(minutes=10)
+# A domain with fewer members cannot tell a cut from single failures.
+MIN_DOMAIN_MEMBERS = 3
+
+
+class _Seen(NamedTuple):
+    member: Member
+    heard_at: timedelta
+    changed_at: timedelta
+    version: int
+
+
+class Directory:
+    """Members by host; the version grows with each change worth telling."""
+
+    def __init__(self, name: str, settings: ClusterSettings, clock: Clock) -> None:
+        self._name = name
+        self._settings = settings
+        self._clock = clock
+        self._members: dict[str, _Seen] = {}
+        self._liveness: dict[str, str] = {}
+        self._version = 1
+        # A restarted entry counts from 1 again, so readers compare its instance too.
+        self._instance = f"{name}/{clock.now().timestamp():.6f}"
+
+    def announce(
+        self, announcement: Announce, lists_offset: int, owners_offset: int
+    ) -> AnnounceReply:
+        """Take an announcement and reply with what changed since the sender's view."""
+        known = self._members.get(announcement.member.host)
+        if known is None or _order(announcement.member) > _order(known.member):
+            self._store(announcement.member, known)
+        self.refresh()
+        return self._build_reply(announcement, lists_offset, owners_offset)
+
+    def _store(self, member: Member, known: _Seen | None) -> None:
+        now = self._clock.monotonic()
+        if known is not None and not _is_worth_telling(known, member, now):
+            self._members[member.host] = known._replace(member=member, heard_at=now)
+            return
+        self._version += 1
+        self._members[member.host] = _Seen(member, now, now, self._version)
+
+    def refresh(self) -> None:
+        """Recompute liveness from silence."""
+        now = self._clock.monotonic()
+        silence = {host: now - seen.heard_at for host, seen in self._members.items()}
+        cut = self._find_cut_domains(silence)
+        for host, seen in list(self._members.items()):
+            liveness = self._judge(seen.member, silence[host], cut)
+            if liveness == DEAD and silence[host] > FORGET_AFTER:
+                del self._members[host]
+                del self._liveness[host]
+                continue
+            if self._liveness.get(host) not in (None, liveness):
+                self._version += 1
+                self._members[host] = seen._replace(version=self._version)
+            self._liveness[host] = liveness
+
+    def _find_cut_domains(self, silence: dict[str, timedelta]) -> set[str]:
+        """Find domains of which at least half is silent; leavers do not count."""
+        total: Counter[str] = Counter()
+        silent: Counter[str] = Counter()
+        for host, seen in self._members.items():
+            if seen.member.state == "leaving":
+                continue
+            total[seen.member.failure_domain] += 1
+            if silence[host] >= self._settings.suspect_seconds:
+                silent[seen.member.failure_domain] += 1
+        return {
+            domain
+            for domain, count in total.items()
+            if count >= MIN_DOMAIN_MEMBERS and silent[domain] * 2 >= count
+        }
+
+    def _judge(self, member: Member, silence: timedelta, cut: set[str]) -> str:
+        if silence < self._settings.suspect_seconds:
+            return ALIVE
+        if member.failure_domain in cut:
+            return UNREACHABLE
+        return DEAD if silence >= self._settings.dead_seconds else SUSPECT
+
+    def _build_reply(
+        self, announcement: Announce, lists_offset: int, owners_offset: int
+    ) -> AnnounceReply:
+        full = announcement.seen_entry != self._instance
+        since = 0 if full else announcement.seen_version
+        changed = tuple(
+            self._describe(host)
+            for host, seen in self._members.items()
+            if seen.version > since
+        )
+        known = self._members.get(announcement.member.host)
+        return AnnounceReply(
+            entry=self._instance,
+            version=self._version,
+            full=full,
+            changed=changed,
+            known_incarnation=known.member.incarnation if known else 0,
+            lists_offset=lists_offset,
+            owners_offset=owners_offset,
+        )
+
+    def _describe(self, host: str) -> MemberStatus:
+        seen = self._members[host]
+        silence = self._clock.monotonic() - seen.heard_at
+        liveness = self._liveness.get(host, ALIVE)
+        return MemberStatus(seen.member, liveness, silence.total_seconds())
+
+    def list_members(self) -> tuple[MemberStatus, ...]:
+        """Return all members with their liveness."""
+        self.refresh()
+        return tuple(self._describe(host) for host in sorted(self._members))
+
+
+def _order(member: Member) -> tuple[int, int]:
+    return member.incarnation, member.sequence
+
+
+def _is_worth_telling(known: _Seen, member: Member, now: timedelta) -> bool:
+    """Tell whether readers need a change; load alone is told at intervals."""
+    old = known.member
+    if _identify(old) != _identify(member):
+        return True
+    load_changed = old.slots_busy + old.queued != member.slots_busy + member.queued
+    if load_changed or old.free != member.free:
+        return now - known.changed_at >= LOAD_REFRESH
+    return False
+
+
+def _identify(member: Member) -> tuple[object, ...]:
+    return (
+        member.incarnation,
+        member.control_address,
+        member.request_address,
+        member.services,
+        member.slots,
+        member.capacity,
+        member.state,
+        member.partitions,
+    )
--- /dev/null
+++ b/src/egretcrank/sidecar/daemon.py
@@ -0,0 +1,283 @@
+"""The sidecar daemon: one for each host with an upstream or a worker."""
+
+import asyncio
+import logging
+import random
+import signal
+import time
+from datetime import timedelta
+
+from returns.result import Result, Success
+
+from egretcrank.clock import Clock, SystemClock
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.host.requests import RequestExecutor
+from egretcrank.host.upstream import HttpUpstreamClient
+from egretcrank.membership.announcer import Announcer
+from egretcrank.observability.decisions import DecisionLog
+from egretcrank.observability.metrics import Metrics
+from egretcrank.ownership.shards import Shards
+from egretcrank.ownership.state import OwnersState
+from egretcrank.ownership.takeover import Claimant
+from egretcrank.settings.schema import Settings
+from egretcrank.sidecar.partitions import OwnedPartitions
+from egretcrank.stream.appender import Appender
+from egretcrank.stream.client import HttpLogClient
+from egretcrank.stream.reader import StreamReader, Verdict
+from egretcrank.stream.records import OwnerClaim, Record
+from egretcrank.transport.client import Peers
+from egretcrank.transport.server import Server
+from egretcrank.transport.threads import ThreadBridge
+from egretcrank.wire.codec import build_refusal
+from egretcrank.wire.messages import (
+    AbandonAttempt,
+    Acknowledged,
+    DescribeProcess,
+    Drain,
+    Execute,
+    Executed,
+    ExecuteOnce,
+    Explain,
+    Explanation,
+    FencePartition,
+    FenceReply,
+    Member,
+    Message,
+    ProcessStatus,
+    Submit,
+)
+
+CONTROL_CONTEXTS = 16
+# Submitted keys wait in the owner for their executor, so there are more contexts than
+# slots on one host.
+SUBMIT_CONTEXTS = 64
+LOG_THREADS = 16
+LEAVE_POLL = timedelta(milliseconds=50)
+
+logger = logging.getLogger(__name__)
+
+
+class Sidecar:
+    """Wires the parts of a sidecar and answers its messages."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._incarnation = time.time_ns() // 1000
+        self._metrics = Metrics()
+        self._decisions = DecisionLog(clock)
+        generator = random.Random(self._incarnation)
+        slots = settings.upstream.slots
+        loop = asyncio.get_running_loop()
+        # Requests on the upstream must not wait for threads that wait for the log.
+        self._upstream_threads = ThreadBridge(loop, slots)
+        self._log_threads = ThreadBridge(loop, LOG_THREADS)
+        self._log = HttpLogClient(settings.log.address, self._log_threads, LOG_THREADS)
+        self._peers = Peers(settings.process.name, clock)
+        self._owners = OwnersState()
+        self._owners_reader = StreamReader(
+            "owners", self._log, self._owners, settings.log, clock, self._metrics
+        )
+        self._owners_reader.listen(self._notice_owner)
+        self._owners_appender = Appender(
+            self._log, self._owners_reader, settings.log, clock, self._metrics
+        )
+        self._shards = Shards(settings, self._log, clock, self._metrics)
+        self._state = "serving"
+        self._announcer = Announcer(
+            self._describe_member, settings.cluster, self._peers, clock
+        )
+        self._executor = RequestExecutor(
+            settings,
+            self._incarnation,
+            HttpUpstreamClient(
+                settings.upstream.address, self._upstream_threads, slots
+            ),
+            clock,
+            self._metrics,
+            self._may_hold,
+        )
+        self._partitions = OwnedPartitions(
+            settings,
+            self._owners,
+            self._shards,
+            self._announcer,
+            self._peers,
+            clock,
+            self._decisions,
+            generator,
+        )
+        self._claimant = Claimant(
+            settings,
+            self._incarnation,
+            self._owners,
+            self._owners_reader,
+            self._owners_appender,
+            self._announcer.list_members,
+            clock,
+            self._decisions,
+            self._partitions.open,
+        )
+        self._stop = asyncio.Event()
+
+    async def run(self) -> None:
+        """Serve until the process is told to leave, then finish what is in flight."""
+        contexts = self._settings.upstream.slots + self._settings.upstream.queue
+        control = Server(
+            self._settings.process.name,
+            self._settings.process.control_address,
+            CONTROL_CONTEXTS,
+            self._handle_control,
+        )
+        requests = Server(
+            self._settings.process.name,
+            self._settings.process.request_address,
+            contexts + SUBMIT_CONTEXTS,
+            self._handle_request,
+        )
+        tasks = [
+            asyncio.create_task(self._owners_reader.run()),
+            asyncio.create_task(self._owners_appender.run()),
+            asyncio.create_task(self._announcer.run()),
+            asyncio.create_task(self._claimant.run()),
+        ]
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(signal_number, self._stop.set)
+        logger.info("sidecar started", extra={"incarnation": self._incarnation})
+        await self._stop.wait()
+        await self._leave(requests)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._partitions.close()
+        await self._shards.close()
+        await requests.close()
+        await control.close()
+        await self._peers.close()
+        self._log.close()
+        self._log_threads.close()
+        self._upstream_threads.close()
+        logger.info("sidecar stopped")
+
+    async def _leave(self, requests: Server) -> None:
+        """Tell the entries, refuse new work, and wait for work in flight."""
+        limit = self._clock.monotonic() + self._settings.process.shutdown_seconds
+        self._state = "leaving"
+        self._claimant.leave()
+        self._executor.leave()
+        await self._announcer.announce_now()
+        owned = await self._partitions.leave(self._settings.process.shutdown_seconds)
+        await self._claimant.release(owned)
+        while self._clock.monotonic() < limit and (
+            requests.busy or self._executor.running or self._executor.waiting
+        ):
+            await self._clock.sleep(LEAVE_POLL)
+
+    def _notice_owner(self, offset: int, record: Record, verdict: Verdict) -> None:
+        match record, verdict:
+            case OwnerClaim(partition, epoch), Success(_):
+                self._partitions.notice_epoch(partition, epoch)
+
+    def _may_hold(self) -> bool:
+        return self._announcer.reaches_majority(
+            self._settings.cluster.session_seconds,
+            self._owners_reader.position.next_offset,
+        )
+
+    def _describe_member(self) -> Member:
+        settings = self._settings
+        return Member(
+            host=settings.process.name,
+            incarnation=self._incarnation,
+            control_address=settings.process.control_address,
+            request_address=settings.process.request_address,
+            failure_domain=settings.process.failure_domain,
+            rack=settings.process.rack,
+            services=settings.upstream.services,
+            slots=settings.upstream.slots,
+            slots_busy=self._executor.running,
+            queued=self._executor.waiting,
+            state=self._state,
+            partitions=self._partitions.list_partitions(),
+            owners_offset=self._owners_reader.position.next_offset,
+        )
+
+    async def _handle_request(self, message: Message, sender: str) -> Message:
+        match message:
+            case Execute():
+                return _reply(await self._executor.execute(message))
+            case ExecuteOnce():
+                self._partitions.notice_epoch(message.partition, message.epoch)
+                return _reply(await self._executor.execute_once(message))
+            case Submit():
+                return _reply(await self._partitions.submit(message))
+            case _:
+                return _refuse_unsupported(message)
+
+    async def _handle_control(self, message: Message, sender: str) -> Message:
+        match message:
+            case AbandonAttempt():
+                return await self._executor.abandon(message)
+            case FencePartition(partition, epoch):
+                return self._fence(partition, epoch)
+            case Drain():
+                self._stop.set()
+                return Acknowledged()
+            case DescribeProcess():
+                return self._describe_process()
+            case Explain(subject):
+                return Explanation(
+                    subject, tuple(dict(d) for d in self._decisions.explain(subject))
+                )
+            case _:
+                return _refuse_unsupported(message)
+
+    def _fence(self, partition: int, epoch: int) -> Message:
+        known = self._executor.find_epoch(partition)
+        if epoch < known:
+            detail = f"partition {partition} has epoch {known}, not {epoch}"
+            return build_refusal(Problem(ErrorKind.STALE_EPOCH, detail))
+        self._partitions.notice_epoch(partition, epoch)
+        attempts = self._executor.fence(partition, epoch)
+        return FenceReply(self._settings.process.name, self._incarnation, attempts)
+
+    def _describe_process(self) -> ProcessStatus:
+        position = self._owners_reader.position
+        return ProcessStatus(
+            self._settings.process.name,
+            "sidecar",
+            {
+                "state": self._state,
+                "failure_domain": self._settings.process.failure_domain,
+                "incarnation": self._incarnation,
+                "slots_busy": self._executor.running,
+                "queued": self._executor.waiting,
+                "partitions": list(self._partitions.list_partitions()),
+                "owners_offset": position.next_offset,
+                "log_down": position.down,
+                "entries_heard": self._announcer.entries_heard,
+            },
+        )
+
+
+def _reply(outcome: Result[Executed, Problem]) -> Message:
+    executed = outcome.value_or(None)
+    return executed or build_refusal(outcome.failure())
+
+
+def _refuse_unsupported(message: Message) -> Message:
+    return build_refusal(
+        Problem(
+            ErrorKind.UNSUPPORTED_MESSAGE,
+            f"{type(message).__name__} is not expected at this address",
+        )
+    )
+
+
+def run_sidecar(settings: Settings) -> None:
+    """Run a sidecar until it is told to stop."""
+
+    async def start() -> None:
+        await Sidecar(settings, SystemClock()).run()
+
+    asyncio.run(start())
--- /dev/null
+++ b/src/egretcrank/sidecar/partitions.py
@@ -0,0 +1,194 @@
+"""Partitions that this sidecar owns: opening, fencing, serving and handing over."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Coroutine, Sequence
+from datetime import timedelta
+from typing import Any
+
+from returns.result import Failure, Result
+
+from egretcrank.clock import Clock
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.idempotency.owner import KeyOwner, OwnerContext
+from egretcrank.membership.announcer import Announcer
+from egretcrank.observability.decisions import DecisionLog
+from egretcrank.ownership.partitions import find_partition, find_shard
+from egretcrank.ownership.shards import Shard, Shards
+from egretcrank.ownership.state import Owner, OwnersState
+from egretcrank.routing.selection import Selector
+from egretcrank.settings.schema import Settings
+from egretcrank.stream.records import Fence
+from egretcrank.transport.client import Peers
+from egretcrank.wire.messages import (
+    Executed,
+    FencePartition,
+    FenceReply,
+    Member,
+    Submit,
+)
+
+FENCE_TIMEOUT = timedelta(seconds=1)
+READY_TIMEOUT = timedelta(seconds=30)
+MAJORITY_INTERVAL = timedelta(milliseconds=200)
+
+logger = logging.getLogger(__name__)
+
+
+class OwnedPartitions:
+    """Owners of this process by partition."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        owners: OwnersState,
+        shards: Shards,
+        announcer: Announcer,
+        peers: Peers,
+        clock: Clock,
+        decisions: DecisionLog,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._owners = owners
+        self._shards = shards
+        self._announcer = announcer
+        self._peers = peers
+        self._clock = clock
+        self._decisions = decisions
+        self._random = generator
+        self._selector = Selector(settings.process.failure_domain, generator)
+        self._open: dict[int, KeyOwner] = {}
+        self._completions: set[asyncio.Task[None]] = set()
+
+    def list_partitions(self) -> tuple[int, ...]:
+        """Return the partitions that this process serves."""
+        return tuple(sorted(self._open))
+
+    @property
+    def in_flight(self) -> int:
+        """Keys that are being handled."""
+        return sum(owner.in_flight for owner in self._open.values())
+
+    async def open(self, claimed: Owner) -> None:
+        """Fence a partition that this process has claimed, and serve it."""
+        partition = claimed.partition
+        shard = self._shards.open(find_shard(partition, self._settings.cluster))
+        async with asyncio.timeout(READY_TIMEOUT.total_seconds()):
+            await shard.reader.wait_until_ready()
+        former = shard.state.find_partition(partition).epoch
+        fence = Fence(partition, claimed.epoch, claimed.host)
+        match await shard.appender.append(fence, READY_TIMEOUT):
+            case Failure(problem):
+                logger.warning("fence failed", extra={"detail": problem.detail})
+                return
+        members = [status.member for status in self._announcer.list_members()]
+        replies = await self._fence_members(members, claimed)
+        owner = self._build_owner(claimed, shard)
+        for reply in replies:
+            owner.adopt(reply)
+        owner.takeover.gap = former > 0 and not _covers(members, replies)
+        self._open[partition] = owner
+        self._start(self._complete(owner, claimed))
+        logger.info(
+            "partition opened",
+            extra={
+                "partition": partition,
+                "epoch": claimed.epoch,
+                "members": len(members),
+                "fenced": len(replies),
+            },
+        )
+
+    def _build_owner(self, claimed: Owner, shard: Shard) -> KeyOwner:
+        context = OwnerContext(
+            settings=self._settings,
+            clock=self._clock,
+            peers=self._peers,
+            members=self._announcer.list_members,
+            decisions=self._decisions,
+            appender=shard.appender,
+            reader=shard.reader,
+            generator=self._random,
+            selector=self._selector,
+        )
+        keys = shard.state.find_partition(claimed.partition).keys
+        return KeyOwner(claimed.partition, claimed.epoch, keys, context)
+
+    async def _fence_members(
+        self, members: Sequence[Member], claimed: Owner
+    ) -> list[FenceReply]:
+        message = FencePartition(claimed.partition, claimed.epoch)
+        replies = await asyncio.gather(
+            *(
+                self._peers.call(member.control_address, message, FENCE_TIMEOUT)
+                for member in members
+            )
+        )
+        return [
+            reply
+            for result in replies
+            if isinstance(reply := result.value_or(None), FenceReply)
+        ]
+
+    async def _complete(self, owner: KeyOwner, claimed: Owner) -> None:
+        """Wait until no held attempt of the former owner can start any more."""
+        if claimed.epoch > 1:
+            while not self._announcer.majority_has_folded(claimed.offset):
+                await self._clock.sleep(MAJORITY_INTERVAL)
+            session = self._settings.cluster.session_seconds
+            await self._clock.sleep(session * (1 + self._settings.cluster.clock_drift))
+        owner.takeover.complete_at = self._clock.now()
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._completions.add(task)
+        task.add_done_callback(self._completions.discard)
+
+    async def submit(self, submit: Submit) -> Result[Executed, Problem]:
+        """Handle a request whose key belongs to one of the partitions."""
+        partition = find_partition(submit.key, self._settings.cluster)
+        owner = self._open.get(partition)
+        if owner is None:
+            return Failure(
+                Problem(
+                    ErrorKind.NOT_OWNER,
+                    f"partition {partition} is not owned by this process",
+                )
+            )
+        if submit.request.service not in self._settings.services:
+            detail = f"service {submit.request.service!r} is not known here"
+            return Failure(Problem(ErrorKind.UNKNOWN_SERVICE, detail))
+        return await owner.submit(submit)
+
+    def notice_epoch(self, partition: int, epoch: int) -> None:
+        """Stop to serve a partition that another process owns by now."""
+        owner = self._open.get(partition)
+        if owner is not None and epoch > owner.epoch:
+            owner.close()
+            del self._open[partition]
+            logger.info(
+                "partition lost", extra={"partition": partition, "epoch": epoch}
+            )
+
+    async def leave(self, limit: timedelta) -> tuple[Owner, ...]:
+        """Finish what is being handled and return the ownerships to release."""
+        for owner in self._open.values():
+            owner.close()
+        await asyncio.gather(*(owner.finish(limit) for owner in self._open.values()))
+        held = [self._owners.find_owner(partition) for partition in self._open]
+        self._open.clear()
+        return tuple(owner for owner in held if owner is not None)
+
+    async def close(self) -> None:
+        """Stop the tasks that complete takeovers."""
+        for task in self._completions:
+            task.cancel()
+        await asyncio.gather(*self._completions, return_exceptions=True)
+
+
+def _covers(members: Sequence[Member], replies: Sequence[FenceReply]) -> bool:
+    """Tell whether every known member answered with the incarnation that is known."""
+    answered = {(reply.host, reply.incarnation) for reply in replies}
+    return all((member.host, member.incarnation) in answered for member in members)
--- a/src/egretcrank/wire/messages.py
+++ b/src/egretcrank/wire/messages.py
@@ -186,6 +186,7 @@
     attempt: int = 0
     held: bool = False
     digest: str = ""
+    service: str = ""
     state: str = "unknown"
     outcome: Executed | None = None
     problem: Refused | None = None
