--- a/src/egretcrank/cli/main.py
+++ b/src/egretcrank/cli/main.py
@@ -4,6 +4,7 @@
 
 from egretcrank import __version__
 from egretcrank.cli.daemons import entry, sidecar
+from egretcrank.cli.operations import drain, explain, status
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -12,5 +13,5 @@
     """Schedule latency-critical requests and batch work on shared hosts."""
 
 
-main.add_command(entry)
-main.add_command(sidecar)
+for command in (entry, sidecar, status, explain, drain):
+    main.add_command(command)
--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -8,7 +8,7 @@
 from datetime import timedelta
 from typing import Any
 
-from returns.result import Result
+from returns.result import Failure, Result
 
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.entry.http import HttpInterface, build_http_server
@@ -166,6 +166,16 @@
             ],
         }
 
+    async def drain(self, host: str) -> Result[None, Problem]:
+        """Ask the sidecar of a host to leave."""
+        for status in self._directory.list_members():
+            if status.member.host == host:
+                reply = await self._peers.call(
+                    status.member.control_address, Drain("operator"), DESCRIBE_TIMEOUT
+                )
+                return reply.map(lambda _: None)
+        return Failure(Problem(ErrorKind.NOT_FOUND, f"host {host!r} is not known"))
+
     async def explain(self, subject: str) -> list[dict[str, Any]]:
         """Collect the decisions on a subject from this entry and all members."""
         decisions = [dict(d) for d in self._decisions.explain(subject)]
--- a/src/egretcrank/entry/http.py
+++ b/src/egretcrank/entry/http.py
@@ -43,6 +43,9 @@
     async def describe_status(self) -> dict[str, Any]:
         """Return the status document."""
 
+    async def drain(self, host: str) -> Result[None, Problem]:
+        """Ask the sidecar of a host to leave."""
+
     async def explain(self, subject: str) -> list[dict[str, Any]]:
         """Return the decisions on a subject."""
 
@@ -81,6 +84,8 @@
             case "GET", path if path.startswith(EXPLAIN_PREFIX):
                 subject = path.removeprefix(EXPLAIN_PREFIX)
                 return self._answer_json(self._operations.explain(subject))
+            case "POST", path if host := _read_drain_path(path):
+                return self._answer_drain(host)
             case "GET", "/metrics":
                 return self._answer_metrics(environ.get("HTTP_ACCEPT", "*/*"))
             case _:
@@ -191,6 +196,17 @@
             return Failure(Problem(ErrorKind.BAD_REQUEST, detail, "body"))
         return Success(body)
 
+    def _answer_drain(self, host: str) -> HttpAnswer:
+        result = self._bridge.run_on_loop(
+            self._operations.drain(host), ANSWER_MARGIN
+        ).bind(lambda outcome: outcome)
+        match result:
+            case Success(_):
+                return _build_json(200, {"host": host, "state": "leaving"})
+            case Failure(problem):
+                return _build_error(problem, "")
+        raise AssertionError("unreachable")
+
     def _answer_json(self, coroutine: Coroutine[Any, Any, Any]) -> HttpAnswer:
         match self._bridge.run_on_loop(coroutine, ANSWER_MARGIN):
             case Success(document):
@@ -209,6 +225,14 @@
         raise AssertionError("unreachable")
 
 
+def _read_drain_path(path: str) -> str:
+    """Return the host in ``/hosts/<host>/drain``, or an empty text."""
+    match path.split("/"):
+        case ["", "hosts", host, "drain"]:
+            return host
+    return ""
+
+
 def _build_answer(executed: Executed, request_id: str) -> HttpAnswer:
     headers = [
         ("Content-Type", executed.content_type or "application/octet-stream"),
