--- a/src/egretcrank/stream/records.py
+++ b/src/egretcrank/stream/records.py
@@ -23,7 +23,7 @@
     """A change of list entries, by key ``plans/<customer>`` or ``allowances/<plan>``.
 
     ``authority`` is ``operator`` or ``founder``; ``lift`` names the keys whose override
-    ends.
+    ends. ``published_at`` is in seconds since 1970, by the clock of the author.
     """
 
     base_revision: int = 0
@@ -34,6 +34,7 @@
     set: dict[str, dict[str, Any]] = field(default_factory=dict)
     remove: tuple[str, ...] = ()
     reason: str = ""
+    published_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +43,7 @@
 
     ``scope`` is empty for a whole stream, or names a partition of a work stream. The
     parts of one snapshot share ``snapshot_id``; ``digest`` is xxh64 of the whole state.
+    ``taken_at`` is when the state was built, in seconds since 1970.
     """
 
     snapshot_id: str = ""
@@ -51,6 +53,7 @@
     count: int = 1
     digest: str = ""
     data: bytes = b""
+    taken_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -272,7 +275,7 @@
                 )
             )
         return Success(Entry(envelope.record_id, decoder.decode(envelope.body)))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Failure(
             Problem(
                 ErrorKind.INVALID_RECORD,
