--- /dev/null
+++ b/bench/smoke.py
@@ -0,0 +1,203 @@
+"""Bounded run of the whole path: every answer is checked, one JSON line is printed."""
+
+import json
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter, defaultdict
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import urllib3
+from click.testing import CliRunner
+
+from bench.cluster import Cluster, Layout
+from egretcrank.cli.main import main as command_line
+
+REQUESTS_PER_CLASS = 60
+CALLERS = 6
+TIMEOUT_SECONDS = 15.0
+IN_FORCE_LIMIT_SECONDS = 30.0
+POLL_SECONDS = 0.05
+
+LISTS = """
+[plans/member]
+plan = standard
+aliases = old-member
+[plans/courier]
+plan = door
+[allowances/standard]
+processors = {processors}
+[allowances/door]
+request_share = 4
+service_aliases = ledger: lookup
+"""
+
+
+class Call(NamedTuple):
+    """One request and how it was answered; ``problem`` is empty if all is right."""
+
+    service: str
+    seconds: float
+    problem: str
+
+
+class Smoke:
+    """Sends requests of each class and collects what went wrong."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._http = urllib3.PoolManager(maxsize=CALLERS, retries=False)
+        self._lock = threading.Lock()
+        self.calls: list[Call] = []
+        self.mismatches: list[str] = []
+
+    def send(self, service: str, number: int) -> None:
+        """Send one request and check its answer."""
+        started = time.monotonic()
+        problem = self._send(service, number)
+        with self._lock:
+            self.calls.append(Call(service, time.monotonic() - started, problem))
+
+    def _send(self, service: str, number: int) -> str:
+        addresses = self._cluster.http_addresses
+        address = addresses[number % len(addresses)]
+        body = f"{service}-{number}"
+        named = "ledger" if service == "lookup" and number % 2 else service
+        customer = "courier" if service == "photo" else "old-member"
+        try:
+            reply = self._http.request(
+                "POST",
+                f"http://{address}/v1/services/{named}",
+                body=body.encode(),
+                headers={
+                    "Egretcrank-Customer": customer,
+                    "Idempotency-Key": f"smoke-{service}-{number}",
+                },
+                timeout=TIMEOUT_SECONDS,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return type(error).__name__
+        document = json.loads(reply.data)
+        if reply.status != 200:
+            return str(document.get("kind", reply.status))
+        if document["echo"] != body or document["path"] != f"/{service}":
+            self.report(f"{body}: answer {document}")
+        return ""
+
+    def report(self, mismatch: str) -> None:
+        """Record something that is not as it has to be."""
+        with self._lock:
+            self.mismatches.append(mismatch)
+
+
+def publish_lists(cluster: Cluster, processors: int) -> int:
+    """Publish lists with the operators' command and return the new revision."""
+    path = cluster.directory / f"lists-{processors}.ini"
+    path.write_text(LISTS.format(processors=processors), encoding="utf-8")
+    result = CliRunner().invoke(
+        command_line,
+        [
+            "lists",
+            "publish",
+            str(path),
+            "--log",
+            cluster.log_address,
+            "--author",
+            "smoke",
+            "--reason",
+            "smoke run",
+            "--authority",
+            "operator",
+            "--json",
+        ],
+    )
+    if result.exit_code != 0:
+        raise RuntimeError(f"lists were not published: {result.output}")
+    return int(json.loads(result.output)["revision"])
+
+
+def wait_until_in_force(cluster: Cluster, revision: int) -> float | None:
+    """Return the seconds until every process has the revision, or nothing."""
+    started = time.monotonic()
+    while time.monotonic() - started < IN_FORCE_LIMIT_SECONDS:
+        if all(_has_revision(cluster, a, revision) for a in cluster.http_addresses):
+            return time.monotonic() - started
+        time.sleep(POLL_SECONDS)
+    return None
+
+
+def _has_revision(cluster: Cluster, address: str, revision: int) -> bool:
+    status = cluster.fetch(address, "/status")
+    if status is None or status["lists_revision"] < revision:
+        return False
+    return all(m["lists_revision"] >= revision for m in status["members"])
+
+
+def check_upstreams(cluster: Cluster, smoke: Smoke) -> None:
+    """Check that no key ran twice and that no upstream got more than its slots."""
+    runs: Counter[tuple[str, str]] = Counter()
+    for host in cluster.hosts:
+        history = cluster.fetch(host.upstream, "/history")
+        if history["overruns"]:
+            smoke.report(f"{host.name}: {history['overruns']} runs beyond the slots")
+        runs.update((run["path"], run["body"]) for run in history["runs"])
+    for (path, body), count in runs.items():
+        if count > 1 and path != "/lookup":
+            smoke.report(f"{body} ran {count} times")
+
+
+def summarize(smoke: Smoke, in_force: float | None) -> dict[str, Any]:
+    """Build the summary that is printed."""
+    seconds = defaultdict(list)
+    for call in smoke.calls:
+        if not call.problem:
+            seconds[call.service].append(call.seconds)
+    answered = {service: len(times) for service, times in seconds.items()}
+    every = sorted(t for times in seconds.values() for t in times)
+    return {
+        "answered": answered,
+        "errors": dict(Counter(c.problem for c in smoke.calls if c.problem)),
+        "p50_ms": round(1000 * every[len(every) // 2], 1) if every else None,
+        "p99_ms": round(1000 * every[int(len(every) * 0.99)], 1) if every else None,
+        "lists_in_force_seconds": None if in_force is None else round(in_force, 2),
+        "mismatches": smoke.mismatches,
+    }
+
+
+def run(cluster: Cluster) -> dict[str, Any]:
+    """Run everything once and return the summary."""
+    cluster.start()
+    smoke = Smoke(cluster)
+    wait_until_in_force(cluster, publish_lists(cluster, 10))
+    with ThreadPoolExecutor(CALLERS) as pool:
+        for number in range(REQUESTS_PER_CLASS):
+            for service in cluster.layout.services:
+                pool.submit(smoke.send, service, number)
+        in_force = wait_until_in_force(cluster, publish_lists(cluster, 20))
+    if in_force is None:
+        smoke.report("the list change is not in force everywhere")
+    check_upstreams(cluster, smoke)
+    codes = cluster.stop()
+    smoke.mismatches.extend(
+        f"{name} ended with {code}" for name, code in codes.items() if code
+    )
+    return summarize(smoke, in_force)
+
+
+def main() -> int:
+    """Print the summary; return 1 if anything is not as it has to be."""
+    with tempfile.TemporaryDirectory(prefix="egretcrank-") as directory:
+        cluster = Cluster(Layout(), Path(directory))
+        try:
+            summary = run(cluster)
+        finally:
+            cluster.stop()
+    print(json.dumps(summary))
+    return 1 if summary["mismatches"] or summary["errors"] else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import threading
+from dataclasses import replace
 from datetime import timedelta
 from typing import Any
 
@@ -14,13 +15,15 @@
 from egretcrank.entry.http import HttpInterface, build_http_server
 from egretcrank.entry.requests import RequestRouter
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.lists.state import ListsState
 from egretcrank.membership.directory import Directory
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.state import OwnersState
 from egretcrank.settings.schema import Settings
 from egretcrank.stream.client import HttpLogClient
-from egretcrank.stream.reader import StreamReader
+from egretcrank.stream.exchange import StateExchange, answer_fetch
+from egretcrank.stream.reader import Fold, StreamReader
 from egretcrank.transport.client import Peers
 from egretcrank.transport.server import Server
 from egretcrank.transport.threads import ThreadBridge
@@ -34,6 +37,7 @@
     Executed,
     Explain,
     Explanation,
+    FetchState,
     Message,
     ProcessStatus,
 )
@@ -57,11 +61,12 @@
         self._bridge = ThreadBridge(asyncio.get_running_loop(), LOG_THREADS)
         self._log = HttpLogClient(settings.log.address, self._bridge, LOG_THREADS)
         self._peers = Peers(settings.process.name, clock)
-        self._owners = OwnersState()
-        self._owners_reader = StreamReader(
-            "owners", self._log, self._owners, settings.log, clock, self._metrics
-        )
         self._directory = Directory(settings.process.name, settings.cluster, clock)
+        self._exchange = StateExchange(self._peers, self._list_state_sources)
+        self._owners = OwnersState()
+        self._owners_reader = self._build_reader("owners", self._owners)
+        self._lists = ListsState()
+        self._lists_reader = self._build_reader("lists", self._lists)
         self._router = RequestRouter(
             settings,
             self._owners,
@@ -76,6 +81,23 @@
         self._state = "serving"
         self._stop = asyncio.Event()
 
+    def _build_reader(self, stream: str, fold: Fold) -> StreamReader:
+        return StreamReader(
+            stream,
+            self._log,
+            fold,
+            self._settings.log,
+            self._clock,
+            self._metrics,
+            self._exchange.fetch,
+        )
+
+    def _list_state_sources(self) -> list[str]:
+        own = self._settings.process.control_address
+        entries = [a for a in self._settings.cluster.entries if a != own]
+        members = self._directory.list_members()
+        return entries + [status.member.control_address for status in members]
+
     async def run(self) -> None:
         """Serve until the process is told to leave, then finish what is in flight."""
         control = Server(
@@ -84,7 +106,10 @@
             CONTROL_CONTEXTS,
             self._handle_control,
         )
-        reader = asyncio.create_task(self._owners_reader.run())
+        readers = [
+            asyncio.create_task(self._owners_reader.run()),
+            asyncio.create_task(self._lists_reader.run()),
+        ]
         http = build_http_server(
             self._settings.entry,
             HttpInterface(self._settings.entry, self, self._bridge),
@@ -101,8 +126,9 @@
         await self._leave()
         # Stopping waits for threads that wait for this loop, so it runs beside it.
         await asyncio.to_thread(http.stop)
-        reader.cancel()
-        await asyncio.gather(reader, return_exceptions=True)
+        for reader in readers:
+            reader.cancel()
+        await asyncio.gather(*readers, return_exceptions=True)
         await control.close()
         await self._peers.close()
         self._log.close()
@@ -120,7 +146,7 @@
         self._in_flight += 1
         started = self._clock.monotonic()
         try:
-            outcome = await self._router.answer(request, key)
+            outcome = await self._answer_listed(request, key)
         finally:
             self._in_flight -= 1
         result = "ok" if outcome.value_or(None) else outcome.failure().kind.value
@@ -130,6 +156,25 @@
         self._metrics.request_seconds.observe({"service": request.service}, elapsed)
         return outcome
 
+    async def _answer_listed(
+        self, request: Execute, key: str
+    ) -> Result[Executed, Problem]:
+        """Answer a request of a customer in the lists, by its name or an alias."""
+        if not self._lists_reader.has_state:
+            detail = "the lists in force are not read yet"
+            return Failure(
+                Problem(ErrorKind.STARTING, detail, retry_after=timedelta(seconds=1))
+            )
+        customer = self._lists.find_customer(request.customer)
+        if isinstance(customer, Failure):
+            return Failure(customer.failure())
+        named = replace(
+            request,
+            customer=customer.unwrap().name,
+            service=self._lists.find_service(request.service),
+        )
+        return await self._router.answer(named, key)
+
     async def describe_status(self) -> dict[str, Any]:
         """Return the status document of this entry and its members."""
         members = self._directory.list_members()
@@ -141,6 +186,8 @@
             "in_flight": self._in_flight,
             "log_down": position.down,
             "owners_offset": position.next_offset,
+            "lists_revision": self._lists.revision,
+            "lists_offset": self._lists_reader.position.next_offset,
             "members": [
                 {
                     "host": status.member.host,
@@ -201,7 +248,11 @@
         match message:
             case Announce():
                 offset = self._owners_reader.position.next_offset
-                return self._directory.announce(message, 0, offset)
+                lists_offset = self._lists_reader.position.next_offset
+                return self._directory.announce(message, lists_offset, offset)
+            case FetchState():
+                readers = {"owners": self._owners_reader, "lists": self._lists_reader}
+                return answer_fetch(message, readers)
             case Drain():
                 self._stop.set()
                 return Acknowledged()
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -13,6 +13,7 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.host.requests import RequestExecutor
 from egretcrank.host.upstream import HttpUpstreamClient
+from egretcrank.lists.state import ListsState
 from egretcrank.membership.announcer import Announcer
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
@@ -23,7 +24,8 @@
 from egretcrank.sidecar.partitions import OwnedPartitions
 from egretcrank.stream.appender import Appender
 from egretcrank.stream.client import HttpLogClient
-from egretcrank.stream.reader import StreamReader, Verdict
+from egretcrank.stream.exchange import StateExchange, answer_fetch
+from egretcrank.stream.reader import Fold, StreamReader, Verdict
 from egretcrank.stream.records import OwnerClaim, Record
 from egretcrank.transport.client import Peers
 from egretcrank.transport.server import Server
@@ -41,6 +43,7 @@
     Explanation,
     FencePartition,
     FenceReply,
+    FetchState,
     Member,
     Message,
     ProcessStatus,
@@ -74,15 +77,18 @@
         self._log_threads = ThreadBridge(loop, LOG_THREADS)
         self._log = HttpLogClient(settings.log.address, self._log_threads, LOG_THREADS)
         self._peers = Peers(settings.process.name, clock)
+        self._exchange = StateExchange(self._peers, self._list_state_sources)
         self._owners = OwnersState()
-        self._owners_reader = StreamReader(
-            "owners", self._log, self._owners, settings.log, clock, self._metrics
-        )
+        self._owners_reader = self._build_reader("owners", self._owners)
+        self._lists = ListsState()
+        self._lists_reader = self._build_reader("lists", self._lists)
         self._owners_reader.listen(self._notice_owner)
         self._owners_appender = Appender(
             self._log, self._owners_reader, settings.log, clock, self._metrics
         )
-        self._shards = Shards(settings, self._log, clock, self._metrics)
+        self._shards = Shards(
+            settings, self._log, clock, self._metrics, self._exchange.fetch
+        )
         self._state = "serving"
         self._announcer = Announcer(
             self._describe_member, settings.cluster, self._peers, clock
@@ -120,6 +126,29 @@
         )
         self._stop = asyncio.Event()
 
+    def _build_reader(self, stream: str, fold: Fold) -> StreamReader:
+        return StreamReader(
+            stream,
+            self._log,
+            fold,
+            self._settings.log,
+            self._clock,
+            self._metrics,
+            self._exchange.fetch,
+        )
+
+    def _list_state_sources(self) -> list[str]:
+        members = self._announcer.list_members()
+        return [
+            *self._settings.cluster.entries,
+            *(status.member.control_address for status in members),
+        ]
+
+    def _list_readers(self) -> dict[str, StreamReader]:
+        shards = self._shards.list_open().values()
+        readers = [self._owners_reader, self._lists_reader, *(s.reader for s in shards)]
+        return {reader.stream: reader for reader in readers}
+
     async def run(self) -> None:
         """Serve until the process is told to leave, then finish what is in flight."""
         contexts = self._settings.upstream.slots + self._settings.upstream.queue
@@ -137,6 +166,7 @@
         )
         tasks = [
             asyncio.create_task(self._owners_reader.run()),
+            asyncio.create_task(self._lists_reader.run()),
             asyncio.create_task(self._owners_appender.run()),
             asyncio.create_task(self._announcer.run()),
             asyncio.create_task(self._claimant.run()),
@@ -199,6 +229,8 @@
             queued=self._executor.waiting,
             state=self._state,
             partitions=self._partitions.list_partitions(),
+            lists_revision=self._lists.revision,
+            lists_offset=self._lists_reader.position.next_offset,
             owners_offset=self._owners_reader.position.next_offset,
         )
 
@@ -220,6 +252,8 @@
                 return await self._executor.abandon(message)
             case FencePartition(partition, epoch):
                 return self._fence(partition, epoch)
+            case FetchState():
+                return answer_fetch(message, self._list_readers())
             case Drain():
                 self._stop.set()
                 return Acknowledged()
@@ -254,6 +288,7 @@
                 "queued": self._executor.waiting,
                 "partitions": list(self._partitions.list_partitions()),
                 "owners_offset": position.next_offset,
+                "lists_revision": self._lists.revision,
                 "log_down": position.down,
                 "entries_heard": self._announcer.entries_heard,
             },
