--- /dev/null
+++ b/src/egretcrank/host/tasks.py
@@ -0,0 +1,618 @@
+"""Batch tasks on this host: sessions of owners, admission, leases and reports."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from egretcrank.clock import Clock
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.host.capacity import CapacityLedger
+from egretcrank.host.worker import (
+    Attempt,
+    AttemptOrder,
+    Lease,
+    RenewOrder,
+    StartOrder,
+    WorkerClient,
+    WorkerTask,
+    WorkerView,
+)
+from egretcrank.jobs.model import ACTIVE_REPORTS, Report
+from egretcrank.observability.decisions import Decision, DecisionLog
+from egretcrank.observability.metrics import Metrics
+from egretcrank.settings.schema import Settings
+from egretcrank.wire.messages import (
+    EvictTask,
+    FencePartition,
+    FenceReply,
+    Message,
+    RenewSession,
+    Resources,
+    Session,
+    StartTask,
+    StopTask,
+    TaskEvents,
+    TaskReply,
+    TaskReport,
+    ThrottleTask,
+)
+
+TaskMessage = StartTask | RenewSession | EvictTask | StopTask | ThrottleTask
+Reply = Result[Message, Problem]
+SendEvents = Callable[[TaskEvents], Awaitable[bool]]
+
+logger = logging.getLogger(__name__)
+
+
+class HostTask(NamedTuple):
+    """An attempt on this host; ``valid_until`` is on the worker's clock."""
+
+    report: TaskReport
+    resources: Resources
+    valid_until: float = 0.0
+    reported: bool = False
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the attempt runs or may still start."""
+        return self.report.state in ACTIVE_REPORTS
+
+
+class TaskHost:
+    """Runs tasks of remote owners on the local worker.
+
+    ``send_events`` delivers events to the owner of their partition and tells whether
+    it acknowledged them. One lock orders everything that changes the worker, so that a
+    list of tasks is never older than a start that it is merged with.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        worker: WorkerClient,
+        settings: Settings,
+        clock: Clock,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        send_events: SendEvents,
+    ) -> None:
+        upstream = settings.upstream
+        self.ledger = CapacityLedger(
+            Resources(upstream.processors, upstream.memory_mib, upstream.accelerators)
+        )
+        self._host = host
+        self._incarnation = incarnation
+        self._worker = worker
+        self._settings = settings
+        self._clock = clock
+        self._decisions = decisions
+        self._metrics = metrics
+        self._send_events = send_events
+        self._lock = asyncio.Lock()
+        self._view: WorkerView | None = None
+        self._view_at = timedelta()
+        self._leaving = False
+        self._epochs: dict[int, int] = {}
+        self._stamps: dict[int, float] = {}
+        self._tasks: dict[Attempt, HostTask] = {}
+        # Both maps hold the time of the entry. A message that is older than a session
+        # is refused by its stamp, so entries are needed for one session only.
+        self._refused: dict[Attempt, float] = {}
+        self._finished: dict[Attempt, float] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the worker's tasks are known."""
+        return self._view is not None
+
+    @property
+    def has_active_tasks(self) -> bool:
+        """Whether an attempt runs or may still start."""
+        return any(task.is_active for task in self._tasks.values())
+
+    def leave(self) -> None:
+        """Refuse new tasks from now on."""
+        self._leaving = True
+
+    def raise_epoch(self, partition: int, epoch: int) -> None:
+        """Refuse lower epochs of a partition, as seen in a message or in the log."""
+        if epoch > self._epochs.get(partition, 0):
+            self._epochs[partition] = epoch
+            # Only the owner of the highest epoch keeps leases alive.
+            self._stamps.pop(partition, None)
+
+    async def run(self) -> None:
+        """Read the worker and report changes until cancelled."""
+        while True:
+            await self.poll()
+            await self._clock.sleep(self._settings.worker.poll_seconds)
+
+    async def poll(self) -> None:
+        """Read the worker, renew leases of valid sessions and deliver reports."""
+        async with self._lock:
+            await self._read_worker()
+            await self._renew_leases()
+        await self._deliver_reports()
+
+    async def handle(self, message: TaskMessage) -> Reply:
+        """Handle a message of an owner."""
+        match message:
+            case RenewSession():
+                return self._renew_sessions(message.sessions)
+            case StartTask():
+                async with self._lock:
+                    return await self._start(message)
+            case EvictTask():
+                async with self._lock:
+                    return await self._evict(message)
+            case StopTask():
+                async with self._lock:
+                    return await self._stop(message)
+            case ThrottleTask():
+                async with self._lock:
+                    return await self._throttle(message)
+
+    def fence(self, message: FencePartition) -> Result[FenceReply, Problem]:
+        """Raise the epoch and report the tasks of a partition."""
+        problem = self._check_epoch(message.partition, message.epoch)
+        if problem is not None:
+            return Failure(problem)
+        if not self.is_ready:
+            return Failure(self._describe_starting())
+        return Success(
+            FenceReply(
+                self._host,
+                self._incarnation,
+                (),
+                self._list_reports({message.partition}),
+                self._read_stamp(),
+            )
+        )
+
+    def _read_stamp(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+    def _check_epoch(self, partition: int, epoch: int) -> Problem | None:
+        highest = self._epochs.get(partition, 0)
+        if epoch < highest:
+            return Problem(
+                ErrorKind.STALE_EPOCH,
+                f"epoch {epoch} of partition {partition} has ended",
+                self._host,
+                f"epoch {highest} or higher",
+            )
+        self.raise_epoch(partition, epoch)
+        return None
+
+    def _check_session(self, session: Session) -> Problem | None:
+        """Check epoch, incarnation and stamp; note a stamp that is valid."""
+        if session.incarnation != self._incarnation:
+            return Problem(
+                ErrorKind.WRONG_INCARNATION,
+                f"message is for incarnation {session.incarnation}",
+                self._host,
+                str(self._incarnation),
+            )
+        if problem := self._check_epoch(session.partition, session.epoch):
+            return problem
+        if not self.is_ready:
+            return self._describe_starting()
+        if not self._is_stamp_valid(session.stamp):
+            return Problem(
+                ErrorKind.SESSION_ENDED,
+                f"stamp {session.stamp:.3f} has lapsed",
+                self._host,
+                "a stamp of this session",
+            )
+        known = self._stamps.get(session.partition, session.stamp)
+        self._stamps[session.partition] = max(known, session.stamp)
+        return None
+
+    def _is_stamp_valid(self, stamp: float) -> bool:
+        length = self._settings.cluster.session_seconds.total_seconds()
+        return stamp <= self._read_stamp() < stamp + length
+
+    def _describe_starting(self) -> Problem:
+        return Problem(
+            ErrorKind.STARTING, "tasks of the worker are not known yet", self._host
+        )
+
+    def _list_reports(self, partitions: set[int]) -> tuple[TaskReport, ...]:
+        return tuple(
+            task.report
+            for task in self._tasks.values()
+            if task.report.partition in partitions
+        )
+
+    def _build_reply(self, partitions: set[int]) -> Reply:
+        return Success(
+            TaskReply(
+                self._host,
+                self._incarnation,
+                self._read_stamp(),
+                self._list_reports(partitions),
+            )
+        )
+
+    def _renew_sessions(self, sessions: Sequence[Session]) -> Reply:
+        if not self.is_ready:
+            return Failure(self._describe_starting())
+        accepted: set[int] = set()
+        refusal: Problem | None = None
+        for session in sessions:
+            problem = self._check_epoch(session.partition, session.epoch)
+            if problem is not None:
+                refusal = problem
+                continue
+            # A lapsed stamp extends nothing, but its sender gets a new one.
+            self._check_session(session)
+            accepted.add(session.partition)
+        if refusal is not None and not accepted:
+            return Failure(refusal)
+        return self._build_reply(accepted)
+
+    async def _start(self, message: StartTask) -> Reply:
+        attempt = Attempt(message.task, message.attempt)
+        partition = message.session.partition
+        problem = self._check_session(message.session)
+        if problem is not None and problem.kind is ErrorKind.WRONG_INCARNATION:
+            return Failure(problem)
+        if problem is None or problem.kind is ErrorKind.SESSION_ENDED:
+            if attempt in self._tasks:
+                return self._build_reply({partition})
+            if attempt in self._finished:
+                return self._answer_finished(attempt, partition)
+        if problem is None:
+            problem = self._find_obstacle(message, attempt)
+        if problem is None:
+            problem = await self._order_start(message, attempt)
+        if problem is None:
+            self._record(message.task, "start", self._host, "admitted", message)
+            return self._build_reply({partition})
+        self._record(message.task, "refuse", self._host, problem.detail, message)
+        if attempt not in self._tasks:
+            # A delayed copy of this message must not start the attempt any more.
+            self._refused[attempt] = self._read_stamp()
+        return Failure(problem)
+
+    def _find_obstacle(self, message: StartTask, attempt: Attempt) -> Problem | None:
+        if message.session.stamp <= self._refused.get(attempt, -1.0):
+            return Problem(
+                ErrorKind.TOMBSTONED,
+                "attempt was refused after the stamp was issued",
+                message.task,
+                "a newer stamp",
+            )
+        if self._leaving:
+            return Problem(ErrorKind.LEAVING, "host is leaving", self._host)
+        if any(a.task == attempt.task and t.is_active for a, t in self._tasks.items()):
+            return Problem(
+                ErrorKind.NO_CAPACITY, "another attempt runs here", message.task
+            )
+        return None
+
+    async def _order_start(
+        self, message: StartTask, attempt: Attempt
+    ) -> Problem | None:
+        holder = f"{attempt.task}#{attempt.number}"
+        match self.ledger.reserve(holder, message.resources):
+            case Failure(Problem() as problem):
+                return problem
+            case _:
+                pass
+        view = self._view
+        if view is None or self._is_view_old():
+            view = await self._read_worker()
+        # The worker's clock was read before the session is checked here, so the lease
+        # ends within session plus lease of the stamp, whatever pause follows.
+        problem = self._check_session(message.session)
+        if view is None and problem is None:
+            problem = Problem(ErrorKind.STARTING, "worker does not answer", self._host)
+        if view is None or problem is not None:
+            self.ledger.release(holder)
+            return problem
+        lease = self._settings.cluster.lease_seconds.total_seconds()
+        order = StartOrder(
+            view.instance,
+            self._incarnation,
+            message.task,
+            message.attempt,
+            message.session.partition,
+            message.job,
+            message.command,
+            message.checkpoint,
+            message.resources,
+            view.clock + lease,
+        )
+        report = TaskReport(
+            message.job,
+            message.task,
+            message.attempt,
+            message.session.partition,
+            Report.STARTING,
+            message.checkpoint,
+        )
+        self._tasks[attempt] = HostTask(report, message.resources, order.valid_until)
+        match await self._worker.start(order):
+            case Success(started):
+                self._merge(attempt, started)
+            case Failure(Problem() as problem):
+                # Without a reply the order may be on its way until its lease lapses.
+                if problem.kind is ErrorKind.CALL_TIMEOUT:
+                    return problem
+                self._drop(attempt)
+                # The kind of the worker's failure would read as one of the call here.
+                return Problem(
+                    ErrorKind.NO_CAPACITY,
+                    f"worker refused: {problem.detail}",
+                    self._host,
+                )
+        self._metrics.tasks.inc({"state": "started"})
+        return None
+
+    def _is_view_old(self) -> bool:
+        age = self._clock.monotonic() - self._view_at
+        return age > self._settings.cluster.lease_seconds / 3
+
+    async def _evict(self, message: EvictTask) -> Reply:
+        attempt = Attempt(message.task, message.attempt)
+        if problem := self._check_session(message.session):
+            return Failure(problem)
+        task = self._tasks.get(attempt)
+        if task is None or task.report.state != Report.RUNNING:
+            return self._build_reply({message.session.partition})
+        order = AttemptOrder(self._incarnation, *attempt)
+        match await self._worker.checkpoint(order):
+            case Failure(Problem() as problem):
+                return Failure(problem)
+            case Success(checkpoint):
+                return await self._stop_running(
+                    attempt, message.session, Report.EVICTED, message.reason, checkpoint
+                )
+        raise AssertionError("a result is a success or a failure")
+
+    async def _stop(self, message: StopTask) -> Reply:
+        attempt = Attempt(message.task, message.attempt)
+        if problem := self._check_session(message.session):
+            return Failure(problem)
+        task = self._tasks.get(attempt)
+        if task is None:
+            return self._refuse_for_good(message, attempt)
+        if not task.is_active:
+            return self._build_reply({message.session.partition})
+        return await self._stop_running(
+            attempt, message.session, Report.STOPPED, message.reason, ""
+        )
+
+    def _refuse_for_good(self, message: StopTask, attempt: Attempt) -> Reply:
+        """Answer that an attempt has not started and make that final."""
+        partition = message.session.partition
+        if attempt in self._finished:
+            return self._answer_finished(attempt, partition)
+        self._refused[attempt] = self._read_stamp()
+        return self._reply_with(
+            TaskReport(
+                task=message.task,
+                attempt=message.attempt,
+                partition=partition,
+                state=Report.NOT_STARTED,
+            )
+        )
+
+    def _answer_finished(self, attempt: Attempt, partition: int) -> Reply:
+        """Report an attempt whose result an owner has acknowledged."""
+        return self._reply_with(
+            TaskReport(
+                task=attempt.task,
+                attempt=attempt.number,
+                partition=partition,
+                state=Report.LOST,
+                reason="attempt has ended and was acknowledged",
+            )
+        )
+
+    def _reply_with(self, report: TaskReport) -> Reply:
+        partition = report.partition
+        reports = (*self._list_reports({partition}), report)
+        return Success(
+            TaskReply(self._host, self._incarnation, self._read_stamp(), reports)
+        )
+
+    async def _stop_running(
+        self,
+        attempt: Attempt,
+        session: Session,
+        state: Report,
+        reason: str,
+        checkpoint: str,
+    ) -> Reply:
+        reply = await self._worker.stop(AttemptOrder(self._incarnation, *attempt))
+        match reply:
+            case Failure(Problem() as problem):
+                return Failure(problem)
+            case Success(ended):
+                self._merge(attempt, ended)
+                task = self._tasks[attempt]
+                if task.report.state == Report.STOPPED:
+                    report = _replace_report(
+                        task.report, state, checkpoint or ended.checkpoint, reason
+                    )
+                    self._tasks[attempt] = task._replace(report=report)
+        self._record(attempt.task, str(state), self._host, reason, None)
+        return self._build_reply({session.partition})
+
+    async def _throttle(self, message: ThrottleTask) -> Reply:
+        if problem := self._check_session(message.session):
+            return Failure(problem)
+        order = AttemptOrder(
+            self._incarnation, message.task, message.attempt, message.share
+        )
+        match await self._worker.throttle(order):
+            case Failure(Problem() as problem):
+                return Failure(problem)
+            case _:
+                return self._build_reply({message.session.partition})
+
+    async def _read_worker(self) -> WorkerView | None:
+        """Read what the worker runs; must be called with the lock held."""
+        asked_at = self._clock.monotonic()
+        match await self._worker.list_tasks(self._incarnation):
+            case Success(view):
+                restarted = self._view is not None and (
+                    self._view.instance != view.instance
+                )
+                self._view, self._view_at = view, asked_at
+                self.ledger.set_total(view.capacity)
+                self._merge_view(view, restarted)
+                return view
+            case Failure(Problem() as problem):
+                logger.warning("worker not read", extra={"detail": problem.detail})
+        return None
+
+    def _merge_view(self, view: WorkerView, restarted: bool) -> None:
+        listed = {Attempt(t.task, t.attempt): t for t in view.tasks}
+        for attempt, found in listed.items():
+            if attempt not in self._finished:
+                self._merge(attempt, found)
+        for attempt, task in list(self._tasks.items()):
+            if attempt in listed or not task.is_active:
+                continue
+            if task.report.state == Report.RUNNING:
+                self._merge(
+                    attempt,
+                    WorkerTask(
+                        *attempt, state=Report.LOST, reason="worker lost the task"
+                    ),
+                )
+            elif restarted or view.clock >= task.valid_until:
+                # The worker refuses the order by now, so it can never start.
+                self._drop(attempt)
+                self._refused[attempt] = self._read_stamp()
+        self._expire_tombstones()
+
+    def _expire_tombstones(self) -> None:
+        oldest = self._read_stamp() - (
+            2 * self._settings.cluster.session_seconds.total_seconds()
+        )
+        for tombstones in (self._refused, self._finished):
+            for attempt in [a for a, t in tombstones.items() if t < oldest]:
+                del tombstones[attempt]
+
+    def _merge(self, attempt: Attempt, found: WorkerTask) -> None:
+        """Take over what the worker says about an attempt; final states stay."""
+        task = self._tasks.get(attempt)
+        if task is not None and not task.is_active:
+            return
+        holder = f"{attempt.task}#{attempt.number}"
+        if task is None:
+            report = TaskReport(found.job, found.task, found.attempt, found.partition)
+            task = HostTask(report, found.resources)
+        changed = task.report.state != found.state
+        report = _replace_report(
+            task.report,
+            Report(found.state),
+            found.checkpoint or task.report.checkpoint,
+            found.reason,
+            found.result,
+            found.progress,
+        )
+        task = task._replace(report=report, reported=task.reported and not changed)
+        self._tasks[attempt] = task
+        if task.is_active:
+            self.ledger.adopt(holder, task.resources)
+        else:
+            self.ledger.release(holder)
+            self._metrics.tasks.inc({"state": found.state})
+
+    def _drop(self, attempt: Attempt) -> None:
+        self._tasks.pop(attempt, None)
+        self.ledger.release(f"{attempt.task}#{attempt.number}")
+
+    async def _renew_leases(self) -> None:
+        view = self._view
+        if view is None:
+            return
+        valid = {p for p, s in self._stamps.items() if self._is_stamp_valid(s)}
+        until = view.clock + self._settings.cluster.lease_seconds.total_seconds()
+        leases = tuple(
+            Lease(*attempt, until)
+            for attempt, task in self._tasks.items()
+            if task.report.state == Report.RUNNING and task.report.partition in valid
+        )
+        if not leases:
+            return
+        order = RenewOrder(view.instance, self._incarnation, leases)
+        match await self._worker.renew(order):
+            case Failure(Problem() as problem):
+                logger.warning("leases not renewed", extra={"detail": problem.detail})
+            case _:
+                pass
+
+    async def _deliver_reports(self) -> None:
+        """Send reports that no owner has acknowledged, by partition."""
+        due: dict[int, dict[Attempt, TaskReport]] = {}
+        for attempt, task in self._tasks.items():
+            if not task.reported:
+                due.setdefault(task.report.partition, {})[attempt] = task.report
+        for partition, reports in due.items():
+            events = TaskEvents(
+                self._host,
+                self._incarnation,
+                partition,
+                self._read_stamp(),
+                tuple(reports.values()),
+                self._epochs.get(partition, 0),
+            )
+            if await self._send_events(events):
+                await self._settle(reports)
+
+    async def _settle(self, reports: Mapping[Attempt, TaskReport]) -> None:
+        async with self._lock:
+            for attempt, report in reports.items():
+                task = self._tasks.get(attempt)
+                if task is None or task.report.state != report.state:
+                    continue
+                if task.is_active:
+                    self._tasks[attempt] = task._replace(reported=True)
+                    continue
+                self._finished[attempt] = self._read_stamp()
+                self._drop(attempt)
+                await self._worker.forget(AttemptOrder(self._incarnation, *attempt))
+
+    def _record(
+        self, subject: str, action: str, choice: str, reason: str, message: object
+    ) -> None:
+        inputs = {"free": str(self.ledger.free)}
+        if isinstance(message, StartTask):
+            inputs |= {
+                "attempt": str(message.attempt),
+                "resources": str(message.resources),
+            }
+        self._decisions.record(Decision(subject, action, choice, reason, (), inputs))
+
+
+def _replace_report(
+    report: TaskReport,
+    state: Report,
+    checkpoint: str,
+    reason: str,
+    result: str = "",
+    progress: float | None = None,
+) -> TaskReport:
+    return TaskReport(
+        report.job,
+        report.task,
+        report.attempt,
+        report.partition,
+        state,
+        checkpoint,
+        result or report.result,
+        reason or report.reason,
+        report.progress if progress is None else progress,
+        report.usage,
+    )
--- /dev/null
+++ b/src/egretcrank/jobs/model.py
@@ -0,0 +1,112 @@
+"""Typed state of jobs and tasks."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from egretcrank.wire.messages import Resources, SubmitJob
+
+
+class Repeat(StrEnum):
+    """Whether another attempt may follow one whose end was not seen."""
+
+    FROM_CHECKPOINT = "from_checkpoint"
+    NEVER = "never"
+
+
+class Ending(StrEnum):
+    """Final states of a task."""
+
+    DONE = "done"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    CANNOT_RUN = "cannot_run"
+    UNKNOWN = "unknown"
+
+
+class Report(StrEnum):
+    """States of an attempt on a host, as in ``TaskReport.state``."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    DONE = "done"
+    FAILED = "failed"
+    EVICTED = "evicted"
+    STOPPED = "stopped"
+    LOST = "lost"
+    NOT_STARTED = "not_started"
+
+
+ACTIVE_REPORTS = frozenset({Report.STARTING, Report.RUNNING})
+
+
+class Intent(NamedTuple):
+    """Where an attempt of a task that must not repeat may have been started."""
+
+    attempt: int
+    host: str
+    incarnation: int
+
+
+class TaskState(NamedTuple):
+    """Recorded state of a task; ``attempt`` is the only one that may run now."""
+
+    name: str
+    attempt: int = 1
+    checkpoint: str = ""
+    intent: Intent | None = None
+    ending: Ending | None = None
+    result: str = ""
+    reason: str = ""
+
+
+class JobState(NamedTuple):
+    """Recorded state of a job."""
+
+    job: str
+    spec: SubmitJob
+    accepted_at: float
+    tasks: dict[str, TaskState]
+    cancelled: bool = False
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether every task has its final state."""
+        return all(task.ending is not None for task in self.tasks.values())
+
+
+def build_task_id(job: str, name: str) -> str:
+    """Name a task uniquely among all jobs."""
+    return f"{job}/{name}"
+
+
+def split_task_id(task: str) -> tuple[str, str]:
+    """Split the identifier of a task into job and task name."""
+    job, _, name = task.partition("/")
+    return job, name
+
+
+def fits(need: Resources, available: Resources) -> bool:
+    """Tell whether ``need`` is within ``available`` in every dimension."""
+    return (
+        need.processors <= available.processors
+        and need.memory_mib <= available.memory_mib
+        and need.accelerators <= available.accelerators
+    )
+
+
+def add_resources(first: Resources, second: Resources) -> Resources:
+    """Add two amounts."""
+    return Resources(
+        first.processors + second.processors,
+        first.memory_mib + second.memory_mib,
+        first.accelerators + second.accelerators,
+    )
+
+
+def subtract_resources(first: Resources, second: Resources) -> Resources:
+    """Subtract the second amount from the first."""
+    return Resources(
+        first.processors - second.processors,
+        first.memory_mib - second.memory_mib,
+        first.accelerators - second.accelerators,
+    )
--- a/src/egretcrank/wire/messages.py
+++ b/src/egretcrank/wire/messages.py
@@ -195,7 +195,7 @@
 class TaskReport:
     """State of one attempt of a task on a host.
 
-    ``state`` is ``running``, ``done``, ``failed``, ``evicted`` or ``stopped``.
+    ``state`` is a value of ``jobs.model.Report``.
     """
 
     job: str = ""
@@ -298,13 +298,18 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskEvents:
-    """Task states that changed on a host, sent to the owner."""
+    """Task states that changed on a host, sent to the owner.
+
+    ``epoch`` is the highest that the host has seen; an owner of a lower one must not
+    acknowledge the report.
+    """
 
     host: str = ""
     incarnation: int = 0
     partition: int = 0
     stamp: float = 0.0
     tasks: tuple[TaskReport, ...] = ()
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
