--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -13,6 +13,7 @@
 
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.entry.http import HttpInterface, build_http_server
+from egretcrank.entry.jobs import JobRequest, JobRouter
 from egretcrank.entry.requests import RequestRouter
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.lists.state import ListsState
@@ -38,6 +39,7 @@
     Explain,
     Explanation,
     FetchState,
+    JobReply,
     Message,
     ProcessStatus,
 )
@@ -77,6 +79,7 @@
             self._metrics,
             random.Random(),
         )
+        self._jobs = JobRouter(settings, self._owners, self._lists, self._peers, clock)
         self._in_flight = 0
         self._state = "serving"
         self._stop = asyncio.Event()
@@ -175,6 +178,15 @@
         )
         return await self._router.answer(named, key)
 
+    async def handle_job(self, message: JobRequest) -> Result[JobReply, Problem]:
+        """Handle a request on batch work."""
+        if not self._lists_reader.has_state:
+            detail = "the lists in force are not read yet"
+            return Failure(
+                Problem(ErrorKind.STARTING, detail, retry_after=timedelta(seconds=1))
+            )
+        return await self._jobs.route(message)
+
     async def describe_status(self) -> dict[str, Any]:
         """Return the status document of this entry and its members."""
         members = self._directory.list_members()
--- a/src/egretcrank/entry/http.py
+++ b/src/egretcrank/entry/http.py
@@ -11,15 +11,25 @@
 from cheroot.wsgi import Server as WsgiServer
 from returns.result import Failure, Result, Success
 
+from egretcrank.entry.jobs import JobRequest, parse_submission
 from egretcrank.errors.answers import ANSWERS, build_error_body
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.settings.schema import EntrySettings
 from egretcrank.transport.threads import ThreadBridge
-from egretcrank.wire.messages import Execute, Executed
+from egretcrank.wire.messages import (
+    AcknowledgeJob,
+    CancelJob,
+    DescribeJob,
+    Execute,
+    Executed,
+    JobReply,
+)
 
 SERVICE_PREFIX = "/v1/services/"
+JOBS_PATH = "/v1/jobs"
 EXPLAIN_PREFIX = "/explain/"
 ANSWER_MARGIN = timedelta(seconds=5)
+JOB_LIMIT = timedelta(seconds=20)
 MAX_NAME_LENGTH = 200
 
 Environ = dict[str, Any]
@@ -40,6 +50,9 @@
     async def answer(self, request: Execute, key: str) -> Result[Executed, Problem]:
         """Answer a request of a caller."""
 
+    async def handle_job(self, message: JobRequest) -> Result[JobReply, Problem]:
+        """Handle a request on batch work."""
+
     async def describe_status(self) -> dict[str, Any]:
         """Return the status document."""
 
@@ -77,6 +90,8 @@
         match method, path:
             case "POST", path if path.startswith(SERVICE_PREFIX):
                 return self._answer_service(environ, path.removeprefix(SERVICE_PREFIX))
+            case _, path if path == JOBS_PATH or path.startswith(JOBS_PATH + "/"):
+                return self._answer_job(environ, method, path)
             case "GET", "/healthz":
                 return _build_json(200, {"status": "ok"})
             case "GET", "/status":
@@ -119,6 +134,40 @@
                 return _build_error(problem, request_id)
         raise AssertionError("unreachable")
 
+    def _answer_job(self, environ: Environ, method: str, path: str) -> HttpAnswer:
+        match self._read_job_request(environ, method, path):
+            case Failure(problem):
+                return _build_error(problem, "")
+            case Success(message):
+                pass
+        result = self._bridge.run_on_loop(
+            self._operations.handle_job(message), JOB_LIMIT
+        ).bind(lambda outcome: outcome)
+        match result:
+            case Success(reply):
+                return _build_json(200, reply)
+            case Failure(problem):
+                return _build_error(problem, "")
+        raise AssertionError("unreachable")
+
+    def _read_job_request(
+        self, environ: Environ, method: str, path: str
+    ) -> Result[JobRequest, Problem]:
+        match method, path.removeprefix(JOBS_PATH).split("/")[1:]:
+            case "POST", []:
+                key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+                return self._read_body(environ).bind(
+                    lambda body: parse_submission(body, key)
+                )
+            case "GET", [job]:
+                return Success(DescribeJob(job))
+            case "DELETE", [job]:
+                return Success(CancelJob(job))
+            case "POST", [job, "acknowledge"]:
+                return Success(AcknowledgeJob(job))
+        detail = f"{method} {path} is not known"
+        return Failure(Problem(ErrorKind.NOT_FOUND, detail, "path"))
+
     def _read_request(
         self, environ: Environ, service: str, request_id: str
     ) -> Result[Execute, Problem]:
--- a/src/egretcrank/ownership/work.py
+++ b/src/egretcrank/ownership/work.py
@@ -1,16 +1,26 @@
 """State of one work stream: fences, and the keys and jobs of its partitions."""
 
 from dataclasses import dataclass
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.idempotency.state import KeyEntry, KeysState
+from egretcrank.jobs.state import (
+    JOB_RECORDS,
+    TASK_RECORDS,
+    JobRecord,
+    JobsState,
+    TaskRecord,
+)
 from egretcrank.settings.schema import ClusterSettings
 from egretcrank.stream.reader import Verdict
 from egretcrank.stream.records import Fence, KeyClaim, KeyOutcome, Record
 
+WorkRecord = KeyClaim | KeyOutcome | JobRecord | TaskRecord
+
 
 @dataclass(slots=True)
 class PartitionState:
@@ -18,6 +28,7 @@
 
     epoch: int
     keys: KeysState
+    jobs: JobsState
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +36,7 @@
     partition: int
     epoch: int
     keys: tuple[KeyEntry, ...]
+    jobs: dict[str, Any]
 
 
 class WorkState:
@@ -38,26 +50,39 @@
         """Return the state of a partition, empty if it has no records."""
         state = self._partitions.get(partition)
         if state is None:
-            state = PartitionState(0, KeysState(self._cluster.key_retention_seconds))
-            self._partitions[partition] = state
+            state = self._partitions[partition] = self._build_partition()
         return state
 
+    def _build_partition(self) -> PartitionState:
+        return PartitionState(
+            0, KeysState(self._cluster.key_retention_seconds), JobsState()
+        )
+
     def apply(self, offset: int, record: Record) -> Verdict:
         """Apply a fence, or a record of the fenced epoch."""
         match record:
             case Fence(partition, epoch):
                 return self._apply_fence(partition, epoch)
             case KeyClaim() | KeyOutcome():
-                state = self.find_partition(record.partition)
-                if record.epoch != state.epoch:
-                    return Failure(_describe_stale(record.partition, record.epoch))
-                if isinstance(record, KeyClaim):
-                    return state.keys.apply_claim(record)
-                return state.keys.apply_outcome(record)
+                return self._apply_work(record)
+            case _ if isinstance(record, JOB_RECORDS + TASK_RECORDS):
+                return self._apply_work(record)
             case _:
                 detail = f"{type(record).__name__} is not expected in a work stream"
                 return Failure(Problem(ErrorKind.INVALID_RECORD, detail, "work"))
 
+    def _apply_work(self, record: WorkRecord) -> Verdict:
+        state = self.find_partition(record.partition)
+        if record.epoch != state.epoch:
+            return Failure(_describe_stale(record.partition, record.epoch))
+        match record:
+            case KeyClaim():
+                return state.keys.apply_claim(record)
+            case KeyOutcome():
+                return state.keys.apply_outcome(record)
+            case _:
+                return state.jobs.apply(record)
+
     def _apply_fence(self, partition: int, epoch: int) -> Verdict:
         state = self.find_partition(partition)
         if epoch <= state.epoch:
@@ -69,7 +94,12 @@
         """Encode the state of all partitions."""
         return msgspec.msgpack.encode(
             [
-                _PartitionBody(partition, state.epoch, state.keys.list_entries())
+                _PartitionBody(
+                    partition,
+                    state.epoch,
+                    state.keys.list_entries(),
+                    state.jobs.build_state(),
+                )
                 for partition, state in sorted(self._partitions.items())
             ]
         )
@@ -82,15 +112,19 @@
             return Failure(
                 Problem(ErrorKind.INVALID_RECORD, f"work is malformed: {error}", "work")
             )
+        for body in bodies:
+            verdict = JobsState().load_state(body.jobs)
+            if isinstance(verdict, Failure):
+                return verdict
         # Owners hold references to partition states, so these are filled in place.
         self._partitions = {
-            body.partition: self._partitions.get(body.partition)
-            or PartitionState(0, KeysState(self._cluster.key_retention_seconds))
-            for body in bodies
+            body.partition: self.find_partition(body.partition) for body in bodies
         }
         for body in bodies:
-            self._partitions[body.partition].epoch = body.epoch
-            self._partitions[body.partition].keys.load_entries(body.keys)
+            state = self._partitions[body.partition]
+            state.epoch = body.epoch
+            state.keys.load_entries(body.keys)
+            state.jobs.load_state(body.jobs)
         return Success(None)
 
 
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -6,13 +6,16 @@
 import signal
 import time
 from datetime import timedelta
+from typing import TypeVar
 
 from returns.result import Result, Success
 
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.host.requests import RequestExecutor
+from egretcrank.host.tasks import TaskHost, TaskMessage
 from egretcrank.host.upstream import HttpUpstreamClient
+from egretcrank.host.worker import HttpWorkerClient
 from egretcrank.lists.state import ListsState
 from egretcrank.membership.announcer import Announcer
 from egretcrank.observability.decisions import DecisionLog
@@ -21,6 +24,7 @@
 from egretcrank.ownership.state import OwnersState
 from egretcrank.ownership.takeover import Claimant
 from egretcrank.settings.schema import Settings
+from egretcrank.sidecar.jobs import OwnedJobs
 from egretcrank.sidecar.partitions import OwnedPartitions
 from egretcrank.stream.appender import Appender
 from egretcrank.stream.client import HttpLogClient
@@ -34,10 +38,13 @@
 from egretcrank.wire.messages import (
     AbandonAttempt,
     Acknowledged,
+    AcknowledgeJob,
+    CancelJob,
+    DescribeJob,
     DescribeProcess,
     Drain,
+    EvictTask,
     Execute,
-    Executed,
     ExecuteOnce,
     Explain,
     Explanation,
@@ -47,7 +54,15 @@
     Member,
     Message,
     ProcessStatus,
+    Refused,
+    RenewSession,
+    Resources,
+    StartTask,
+    StopTask,
     Submit,
+    SubmitJob,
+    TaskEvents,
+    ThrottleTask,
 )
 
 CONTROL_CONTEXTS = 16
@@ -55,8 +70,12 @@
 # slots on one host.
 SUBMIT_CONTEXTS = 64
 LOG_THREADS = 16
+WORKER_THREADS = 4
+EVENTS_TIMEOUT = timedelta(seconds=2)
 LEAVE_POLL = timedelta(milliseconds=50)
 
+MessageT = TypeVar("MessageT", bound=Message)
+
 logger = logging.getLogger(__name__)
 
 
@@ -75,6 +94,7 @@
         # Requests on the upstream must not wait for threads that wait for the log.
         self._upstream_threads = ThreadBridge(loop, slots)
         self._log_threads = ThreadBridge(loop, LOG_THREADS)
+        self._worker_threads = ThreadBridge(loop, WORKER_THREADS)
         self._log = HttpLogClient(settings.log.address, self._log_threads, LOG_THREADS)
         self._peers = Peers(settings.process.name, clock)
         self._exchange = StateExchange(self._peers, self._list_state_sources)
@@ -103,6 +123,17 @@
             self._metrics,
             self._may_hold,
         )
+        self._tasks = self._build_task_host()
+        self._jobs = OwnedJobs(
+            settings,
+            self._lists,
+            self._peers,
+            self._announcer.list_members,
+            clock,
+            self._decisions,
+            self._metrics,
+            generator,
+        )
         self._partitions = OwnedPartitions(
             settings,
             self._owners,
@@ -112,6 +143,8 @@
             clock,
             self._decisions,
             generator,
+            self._jobs,
+            self._owners_reader,
         )
         self._claimant = Claimant(
             settings,
@@ -126,6 +159,29 @@
         )
         self._stop = asyncio.Event()
 
+    def _build_task_host(self) -> TaskHost | None:
+        if not self._settings.worker.address:
+            return None
+        worker = HttpWorkerClient(self._settings.worker.address, self._worker_threads)
+        return TaskHost(
+            self._settings.process.name,
+            self._incarnation,
+            worker,
+            self._settings,
+            self._clock,
+            self._decisions,
+            self._metrics,
+            self._send_task_events,
+        )
+
+    async def _send_task_events(self, events: TaskEvents) -> bool:
+        """Deliver task states to the owner of their partition."""
+        owner = self._owners.find_owner(events.partition)
+        if owner is None or owner.released:
+            return False
+        reply = await self._peers.call(owner.address, events, EVENTS_TIMEOUT)
+        return isinstance(reply, Success)
+
     def _build_reader(self, stream: str, fold: Fold) -> StreamReader:
         return StreamReader(
             stream,
@@ -171,6 +227,8 @@
             asyncio.create_task(self._announcer.run()),
             asyncio.create_task(self._claimant.run()),
         ]
+        if self._tasks is not None:
+            tasks.append(asyncio.create_task(self._tasks.run()))
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(signal_number, self._stop.set)
         logger.info("sidecar started", extra={"incarnation": self._incarnation})
@@ -187,6 +245,7 @@
         self._log.close()
         self._log_threads.close()
         self._upstream_threads.close()
+        self._worker_threads.close()
         logger.info("sidecar stopped")
 
     async def _leave(self, requests: Server) -> None:
@@ -195,6 +254,8 @@
         self._state = "leaving"
         self._claimant.leave()
         self._executor.leave()
+        if self._tasks is not None:
+            self._tasks.leave()
         await self._announcer.announce_now()
         owned = await self._partitions.leave(self._settings.process.shutdown_seconds)
         await self._claimant.release(owned)
@@ -206,7 +267,12 @@
     def _notice_owner(self, offset: int, record: Record, verdict: Verdict) -> None:
         match record, verdict:
             case OwnerClaim(partition, epoch), Success(_):
-                self._partitions.notice_epoch(partition, epoch)
+                self._notice_epoch(partition, epoch)
+
+    def _notice_epoch(self, partition: int, epoch: int) -> None:
+        self._partitions.notice_epoch(partition, epoch)
+        if self._tasks is not None:
+            self._tasks.raise_epoch(partition, epoch)
 
     def _may_hold(self) -> bool:
         return self._announcer.reaches_majority(
@@ -227,6 +293,8 @@
             slots=settings.upstream.slots,
             slots_busy=self._executor.running,
             queued=self._executor.waiting,
+            capacity=self._tasks.ledger.capacity if self._tasks else Resources(),
+            free=self._tasks.ledger.free if self._tasks else Resources(),
             state=self._state,
             partitions=self._partitions.list_partitions(),
             lists_revision=self._lists.revision,
@@ -239,10 +307,14 @@
             case Execute():
                 return _reply(await self._executor.execute(message))
             case ExecuteOnce():
-                self._partitions.notice_epoch(message.partition, message.epoch)
+                self._notice_epoch(message.partition, message.epoch)
                 return _reply(await self._executor.execute_once(message))
             case Submit():
                 return _reply(await self._partitions.submit(message))
+            case (
+                SubmitJob() | CancelJob() | DescribeJob() | AcknowledgeJob()
+            ) | TaskEvents():
+                return _reply(await self._jobs.handle(message))
             case _:
                 return _refuse_unsupported(message)
 
@@ -252,6 +324,10 @@
                 return await self._executor.abandon(message)
             case FencePartition(partition, epoch):
                 return self._fence(partition, epoch)
+            case (
+                StartTask() | RenewSession() | EvictTask() | StopTask()
+            ) | ThrottleTask():
+                return await self._handle_task(message)
             case FetchState():
                 return answer_fetch(message, self._list_readers())
             case Drain():
@@ -271,9 +347,20 @@
         if epoch < known:
             detail = f"partition {partition} has epoch {known}, not {epoch}"
             return build_refusal(Problem(ErrorKind.STALE_EPOCH, detail))
-        self._partitions.notice_epoch(partition, epoch)
+        self._notice_epoch(partition, epoch)
         attempts = self._executor.fence(partition, epoch)
-        return FenceReply(self._settings.process.name, self._incarnation, attempts)
+        name = self._settings.process.name
+        if self._tasks is not None:
+            match self._tasks.fence(FencePartition(partition, epoch)):
+                case Success(FenceReply(tasks=tasks, stamp=stamp)):
+                    return FenceReply(name, self._incarnation, attempts, tasks, stamp)
+        return FenceReply(name, self._incarnation, attempts)
+
+    async def _handle_task(self, message: TaskMessage) -> Message:
+        if self._tasks is None:
+            detail = "this host has no worker"
+            return build_refusal(Problem(ErrorKind.NO_CAPACITY, detail))
+        return _reply(await self._tasks.handle(message))
 
     def _describe_process(self) -> ProcessStatus:
         position = self._owners_reader.position
@@ -295,9 +382,9 @@
         )
 
 
-def _reply(outcome: Result[Executed, Problem]) -> Message:
-    executed = outcome.value_or(None)
-    return executed or build_refusal(outcome.failure())
+def _reply(outcome: Result[MessageT, Problem]) -> MessageT | Refused:
+    message = outcome.value_or(None)
+    return build_refusal(outcome.failure()) if message is None else message
 
 
 def _refuse_unsupported(message: Message) -> Message:
--- /dev/null
+++ b/src/egretcrank/sidecar/jobs.py
@@ -0,0 +1,178 @@
+"""Batch work of the partitions that this sidecar owns."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Sequence
+
+from returns.result import Failure, Result
+
+from egretcrank.clock import Clock
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.jobs.model import add_resources
+from egretcrank.jobs.owner import (
+    JobMessage,
+    JobOwner,
+    PlacedTask,
+    Placing,
+    WaitingTask,
+)
+from egretcrank.lists.state import ListsState
+from egretcrank.membership.directory import ALIVE
+from egretcrank.observability.decisions import DecisionLog
+from egretcrank.observability.metrics import Metrics
+from egretcrank.ownership.partitions import find_job_partition, find_partition
+from egretcrank.ownership.shards import Shard
+from egretcrank.ownership.state import Owner
+from egretcrank.settings.schema import Settings
+from egretcrank.transport.client import Peers
+from egretcrank.wire.messages import (
+    FenceReply,
+    MemberStatus,
+    Message,
+    Resources,
+    SubmitJob,
+    TaskEvents,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class _Running:
+    """The job owner of a partition with its task."""
+
+    def __init__(self, owner: JobOwner, epoch: int) -> None:
+        self.owner = owner
+        self.epoch = epoch
+        self.task = asyncio.create_task(owner.run())
+
+
+class OwnedJobs:
+    """Job owners of this process by partition."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        lists: ListsState,
+        peers: Peers,
+        members: Callable[[], Sequence[MemberStatus]],
+        clock: Clock,
+        decisions: DecisionLog,
+        metrics: Metrics,
+        generator: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._lists = lists
+        self._peers = peers
+        self._members = members
+        self._clock = clock
+        self._decisions = decisions
+        self._metrics = metrics
+        self._random = generator
+        self._running: dict[int, _Running] = {}
+
+    async def open(
+        self,
+        claimed: Owner,
+        shard: Shard,
+        replies: Sequence[FenceReply],
+        may_act: Callable[[], bool],
+    ) -> None:
+        """Start the job owner of a partition with what its hosts reported."""
+        addresses = {s.member.host: s.member.control_address for s in self._members()}
+        owner = JobOwner(
+            claimed.partition,
+            claimed.epoch,
+            shard.state.find_partition(claimed.partition).jobs,
+            shard.appender.append,
+            self._peers.call,
+            self._members,
+            self._place,
+            self._check_quota,
+            may_act,
+            self._clock,
+            self._decisions,
+            self._metrics,
+            self._settings,
+        )
+        for reply in replies:
+            # A host that has not read its worker yet reports no stamp.
+            if reply.stamp > 0 and reply.host in addresses:
+                await owner.adopt(reply, addresses[reply.host])
+        self._running[claimed.partition] = _Running(owner, claimed.epoch)
+
+    async def handle(self, message: JobMessage) -> Result[Message, Problem]:
+        """Handle a message on the jobs of one of the partitions."""
+        partition = self._find_partition(message)
+        running = None if partition is None else self._running.get(partition)
+        if running is None:
+            detail = f"partition {partition} is not owned by this process"
+            return Failure(Problem(ErrorKind.NOT_OWNER, detail))
+        return await running.owner.handle(message)
+
+    def _find_partition(self, message: JobMessage) -> int | None:
+        match message:
+            case SubmitJob():
+                # All jobs of a customer have one owner, so that its quota is exact.
+                return find_partition(message.customer, self._settings.cluster)
+            case TaskEvents():
+                return message.partition
+            case _:
+                return find_job_partition(message.job, self._settings.cluster)
+
+    def notice_epoch(self, partition: int, epoch: int) -> None:
+        """Stop the owner of a partition that another process owns by now."""
+        running = self._running.get(partition)
+        if running is not None and epoch > running.epoch:
+            running.task.cancel()
+            del self._running[partition]
+
+    async def close(self) -> None:
+        """Stop all owners; tasks go on under their leases until a successor comes."""
+        running, self._running = self._running, {}
+        for item in running.values():
+            item.task.cancel()
+        tasks = [item.task for item in running.values()]
+        for result in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(result, Exception):
+                logger.error("job owner failed", extra={"error": repr(result)})
+
+    def _check_quota(
+        self, customer: str, used: Resources, more: Resources
+    ) -> str | None:
+        found = self._lists.find_customer(customer).value_or(None)
+        if found is None:
+            return f"customer {customer!r} is not in the lists"
+        allowance = self._lists.find_allowance(found.plan)
+        total = add_resources(used, more)
+        for name, wanted, allowed in (
+            ("processors", total.processors, allowance.processors),
+            ("memory", total.memory_mib, allowance.memory_mib),
+            ("accelerators", total.accelerators, allowance.accelerators),
+        ):
+            if wanted > allowed:
+                return f"{name} {wanted:g} exceed the quota {allowed:g} of the plan"
+        return None
+
+    def _place(
+        self,
+        task: WaitingTask,
+        members: Sequence[MemberStatus],
+        placed: Sequence[PlacedTask],
+    ) -> Placing:
+        """Choose the member with the most free processors that holds the task."""
+        candidates = [
+            status.member
+            for status in members
+            if status.liveness == ALIVE
+            and status.member.state == "serving"
+            and status.member.free.processors >= task.resources.processors
+            and status.member.free.memory_mib >= task.resources.memory_mib
+            and status.member.free.accelerators >= task.resources.accelerators
+        ]
+        if not candidates:
+            return Placing(None, "no member has the resources free")
+        self._random.shuffle(candidates)
+        best = max(candidates, key=lambda member: member.free.processors)
+        others = tuple(m.host for m in candidates if m is not best)
+        return Placing(best.host, "most free processors", others)
--- a/src/egretcrank/sidecar/partitions.py
+++ b/src/egretcrank/sidecar/partitions.py
@@ -19,6 +19,8 @@
 from egretcrank.ownership.state import Owner, OwnersState
 from egretcrank.routing.selection import Selector
 from egretcrank.settings.schema import Settings
+from egretcrank.sidecar.jobs import OwnedJobs
+from egretcrank.stream.reader import StreamReader
 from egretcrank.stream.records import Fence
 from egretcrank.transport.client import Peers
 from egretcrank.wire.messages import (
@@ -49,7 +51,11 @@
         clock: Clock,
         decisions: DecisionLog,
         generator: random.Random,
+        jobs: OwnedJobs,
+        owners_reader: StreamReader,
     ) -> None:
+        self._jobs = jobs
+        self._owners_reader = owners_reader
         self._settings = settings
         self._owners = owners
         self._shards = shards
@@ -89,6 +95,9 @@
         for reply in replies:
             owner.adopt(reply)
         owner.takeover.gap = former > 0 and not _covers(members, replies)
+        await self._jobs.open(
+            claimed, shard, replies, lambda: self._may_act(claimed, shard)
+        )
         self._open[partition] = owner
         self._start(self._complete(owner, claimed))
         logger.info(
@@ -101,6 +110,12 @@
             },
         )
 
+    def _may_act(self, claimed: Owner, shard: Shard) -> bool:
+        """Tell whether an ownership is in force as far as the log shows."""
+        if self._owners_reader.is_down() or shard.reader.is_down():
+            return False
+        return self._owners.find_owner(claimed.partition) == claimed
+
     def _build_owner(self, claimed: Owner, shard: Shard) -> KeyOwner:
         context = OwnerContext(
             settings=self._settings,
@@ -163,7 +178,8 @@
         return await owner.submit(submit)
 
     def notice_epoch(self, partition: int, epoch: int) -> None:
-        """Stop to serve a partition that another process owns by now."""
+        """Stop serving a partition that another process owns by now."""
+        self._jobs.notice_epoch(partition, epoch)
         owner = self._open.get(partition)
         if owner is not None and epoch > owner.epoch:
             owner.close()
@@ -177,6 +193,7 @@
         for owner in self._open.values():
             owner.close()
         await asyncio.gather(*(owner.finish(limit) for owner in self._open.values()))
+        await self._jobs.close()
         held = [self._owners.find_owner(partition) for partition in self._open]
         self._open.clear()
         return tuple(owner for owner in held if owner is not None)
