--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -28,6 +28,7 @@
 from egretcrank.transport.client import Peers
 from egretcrank.transport.server import Server
 from egretcrank.transport.threads import ThreadBridge
+from egretcrank.transport.traffic import Traffic
 from egretcrank.wire.codec import build_refusal
 from egretcrank.wire.messages import (
     Acknowledged,
@@ -59,10 +60,13 @@
         self._settings = settings
         self._clock = clock
         self._metrics = Metrics()
+        self._traffic = Traffic()
         self._decisions = DecisionLog(clock)
         self._bridge = ThreadBridge(asyncio.get_running_loop(), LOG_THREADS)
-        self._log = HttpLogClient(settings.log.address, self._bridge, LOG_THREADS)
-        self._peers = Peers(settings.process.name, clock)
+        self._log = HttpLogClient(
+            settings.log.address, self._bridge, LOG_THREADS, self._traffic
+        )
+        self._peers = Peers(settings.process.name, clock, self._traffic)
         self._directory = Directory(settings.process.name, settings.cluster, clock)
         self._exchange = StateExchange(self._peers, self._list_state_sources)
         self._owners = OwnersState()
@@ -108,6 +112,7 @@
             self._settings.process.control_address,
             CONTROL_CONTEXTS,
             self._handle_control,
+            self._traffic,
         )
         readers = [
             asyncio.create_task(self._owners_reader.run()),
@@ -199,6 +204,7 @@
             "log_down": position.down,
             "owners_offset": position.next_offset,
             "lists_revision": self._lists.revision,
+            "traffic": self._traffic.read()._asdict(),
             "lists_offset": self._lists_reader.position.next_offset,
             "members": [
                 {
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -34,6 +34,7 @@
 from egretcrank.transport.client import Peers
 from egretcrank.transport.server import Server
 from egretcrank.transport.threads import ThreadBridge
+from egretcrank.transport.traffic import Traffic
 from egretcrank.wire.codec import build_refusal
 from egretcrank.wire.messages import (
     AbandonAttempt,
@@ -87,6 +88,7 @@
         self._clock = clock
         self._incarnation = time.time_ns() // 1000
         self._metrics = Metrics()
+        self._traffic = Traffic()
         self._decisions = DecisionLog(clock)
         generator = random.Random(self._incarnation)
         slots = settings.upstream.slots
@@ -95,8 +97,10 @@
         self._upstream_threads = ThreadBridge(loop, slots)
         self._log_threads = ThreadBridge(loop, LOG_THREADS)
         self._worker_threads = ThreadBridge(loop, WORKER_THREADS)
-        self._log = HttpLogClient(settings.log.address, self._log_threads, LOG_THREADS)
-        self._peers = Peers(settings.process.name, clock)
+        self._log = HttpLogClient(
+            settings.log.address, self._log_threads, LOG_THREADS, self._traffic
+        )
+        self._peers = Peers(settings.process.name, clock, self._traffic)
         self._exchange = StateExchange(self._peers, self._list_state_sources)
         self._owners = OwnersState()
         self._owners_reader = self._build_reader("owners", self._owners)
@@ -213,12 +217,14 @@
             self._settings.process.control_address,
             CONTROL_CONTEXTS,
             self._handle_control,
+            self._traffic,
         )
         requests = Server(
             self._settings.process.name,
             self._settings.process.request_address,
             contexts + SUBMIT_CONTEXTS,
             self._handle_request,
+            self._traffic,
         )
         tasks = [
             asyncio.create_task(self._owners_reader.run()),
@@ -376,6 +382,7 @@
                 "partitions": list(self._partitions.list_partitions()),
                 "owners_offset": position.next_offset,
                 "lists_revision": self._lists.revision,
+                "traffic": self._traffic.read()._asdict(),
                 "log_down": position.down,
                 "entries_heard": self._announcer.entries_heard,
             },
--- a/src/egretcrank/stream/client.py
+++ b/src/egretcrank/stream/client.py
@@ -16,6 +16,7 @@
 
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.transport.threads import ThreadBridge
+from egretcrank.transport.traffic import Traffic
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
 APPEND_TIMEOUT = timedelta(seconds=5)
@@ -86,8 +87,13 @@
     """Log service over HTTP with JSON bodies."""
 
     def __init__(
-        self, address: str, bridge: ThreadBridge, connections: int = 8
+        self,
+        address: str,
+        bridge: ThreadBridge,
+        connections: int = 8,
+        traffic: Traffic | None = None,
     ) -> None:
+        self._traffic = traffic or Traffic()
         self._base = f"http://{address}/streams"
         self._bridge = bridge
         # A repeated POST would append again, so urllib3 must not retry by itself.
@@ -100,6 +106,7 @@
     ) -> Result[int, Problem]:
         """Append records in order and return the offset of the first."""
         body = msgspec.json.encode(_AppendBody([msgspec.Raw(r) for r in records]))
+        self._traffic.count_sent(len(body))
         reply = await self._request("POST", self._url(stream), body, APPEND_TIMEOUT)
         return reply.bind(lambda data: _decode(data, _AppendReply)).map(
             lambda decoded: decoded.first_offset
@@ -111,7 +118,9 @@
         """Read up to ``limit`` records from ``offset`` on."""
         query = f"?from={offset}&limit={limit}&wait={wait.total_seconds():.3f}"
         url = self._url(stream) + query
+        self._traffic.count_sent(len(url))
         reply = await self._request("GET", url, b"", wait + READ_MARGIN)
+        self._traffic.count_received(len(reply.value_or(b"")))
         return reply.bind(lambda data: _decode(data, _PageBody)).map(_build_page)
 
     def _url(self, stream: str) -> str:
--- a/src/egretcrank/transport/client.py
+++ b/src/egretcrank/transport/client.py
@@ -11,6 +11,7 @@
 from egretcrank.clock import Clock
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.transport.server import MAX_MESSAGE_BYTES
+from egretcrank.transport.traffic import Traffic
 from egretcrank.wire.codec import Delivery, decode, encode, parse_refusal
 from egretcrank.wire.messages import Message, Ping, Refused
 
@@ -110,7 +111,10 @@
 class Peer:
     """Calls to one address, over a connection that is replaced when it fails."""
 
-    def __init__(self, name: str, address: str, clock: Clock) -> None:
+    def __init__(
+        self, name: str, address: str, clock: Clock, traffic: Traffic | None = None
+    ) -> None:
+        self._traffic = traffic or Traffic()
         self._name = name
         self._address = address
         self._clock = clock
@@ -133,6 +137,7 @@
                 Problem(ErrorKind.UNREACHABLE, f"no connection to {self._address}")
             )
         data = encode(message, uuid4().hex, self._name)
+        self._traffic.count_sent(len(data))
         reply = await connection.exchange(data, timeout)
         if reply is None:
             return Failure(
@@ -141,6 +146,7 @@
                     f"no reply from {self._address} to {type(message).__name__}",
                 )
             )
+        self._traffic.count_received(len(reply))
         self._heard_at = self._clock.monotonic()
         match decode(reply):
             case Success(Delivery(Refused() as refusal, _, _)):
@@ -198,7 +204,8 @@
 class Peers:
     """The peers of a process by address, created on first use."""
 
-    def __init__(self, name: str, clock: Clock) -> None:
+    def __init__(self, name: str, clock: Clock, traffic: Traffic | None = None) -> None:
+        self._traffic = traffic or Traffic()
         self._name = name
         self._clock = clock
         self._peers: dict[str, Peer] = {}
@@ -209,7 +216,9 @@
         """Call the peer at ``address``; see ``Peer.call``."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[address] = Peer(self._name, address, self._clock)
+            peer = self._peers[address] = Peer(
+                self._name, address, self._clock, self._traffic
+            )
         return await peer.call(message, timeout)
 
     async def forget(self, addresses: set[str]) -> None:
--- a/src/egretcrank/transport/server.py
+++ b/src/egretcrank/transport/server.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.transport.traffic import Traffic
 from egretcrank.wire.codec import Delivery, build_refusal, decode, encode
 from egretcrank.wire.messages import Acknowledged, Message, Ping
 
@@ -24,8 +25,14 @@
     """Listens on one address and answers each call with the handler's reply."""
 
     def __init__(
-        self, name: str, address: str, contexts: int, handler: Handler
+        self,
+        name: str,
+        address: str,
+        contexts: int,
+        handler: Handler,
+        traffic: Traffic | None = None,
     ) -> None:
+        self._traffic = traffic or Traffic()
         self._name = name
         self._handler = handler
         self._socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
@@ -45,6 +52,7 @@
         while not self._closing:
             try:
                 data = await context.arecv()
+                self._traffic.count_received(len(data))
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
@@ -53,7 +61,9 @@
             self._busy += 1
             try:
                 reply, call_id = await self._answer(data)
-                await context.asend(encode(reply, call_id, self._name))
+                encoded = encode(reply, call_id, self._name)
+                await context.asend(encoded)
+                self._traffic.count_sent(len(encoded))
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
