--- a/src/egretcrank/stream/appender.py
+++ b/src/egretcrank/stream/appender.py
@@ -25,8 +25,11 @@
 class _Pending:
     """A record on its way to the log."""
 
-    def __init__(self, entry: Entry, deadline: timedelta) -> None:
+    def __init__(
+        self, entry: Entry, verdict: asyncio.Future[Verdict], deadline: timedelta
+    ) -> None:
         self.entry = entry
+        self.verdict = verdict
         self.data = encode_entry(entry)
         self.deadline = deadline
         self.abandoned = False
@@ -70,8 +73,8 @@
     ) -> Verdict:
         """Append a record under an identifier that the caller keeps for repeats."""
         limit = timeout or self._settings.append_seconds
-        pending = _Pending(entry, self._clock.monotonic() + limit)
         verdict = self._reader.expect(entry.record_id)
+        pending = _Pending(entry, verdict, self._clock.monotonic() + limit)
         self._queue.append(pending)
         self._wake.set()
         try:
@@ -81,7 +84,7 @@
             return Failure(describe_outage(self._reader.stream))
         finally:
             pending.abandoned = True
-            self._reader.forget(entry.record_id)
+            self._reader.forget(entry.record_id, verdict)
 
     async def run(self) -> None:
         """Write queued records until cancelled."""
@@ -128,11 +131,9 @@
         while remaining := [p for p in batch if not self._is_given_up(p)]:
             await self._clock.sleep(RETRY_DELAY)
             if await self._reader.wait_for_fresh_read(self._settings.append_seconds):
-                return [
-                    pending
-                    for pending in remaining
-                    if self._reader.find_verdict(pending.entry.record_id) is None
-                ]
+                # The reader remembers a bounded number of records, so only the
+                # verdict itself shows for certain that a record was folded.
+                return [pending for pending in remaining if not pending.verdict.done()]
         return []
 
     def _count(self, result: str) -> None:
--- a/src/egretcrank/stream/reader.py
+++ b/src/egretcrank/stream/reader.py
@@ -19,6 +19,7 @@
     FoldedState,
     SnapshotAssembler,
     StateBody,
+    VoidReason,
     build_state,
     read_state,
 )
@@ -27,6 +28,10 @@
 # Repeated writes of one record are found within this many records. Snapshots carry the
 # identifiers, so that every reader finds the same repeats.
 REMEMBERED_IDS = 4096
+# Snapshots carry the reasons of void records, so their length is bounded.
+REMEMBERED_TEXT_LENGTH = 200
+# Keeps any time in a chunk within the range of timedelta.
+MAX_AGE_SECONDS = 1e9
 RETRY_DELAY = timedelta(milliseconds=200)
 
 Verdict = Result[None, Problem]
@@ -57,6 +62,14 @@
     down: bool
 
 
+class _SnapshotMark(NamedTuple):
+    """Newest snapshot in the stream; times are monotonic and in seconds since 1970."""
+
+    through: int
+    seen_at: timedelta
+    taken_at: float
+
+
 class StreamReader:
     """Follows a stream and folds each record exactly once, in order."""
 
@@ -81,9 +94,11 @@
         self._ready = False
         self._heard_at: timedelta | None = None
         self._started_at = clock.monotonic()
-        self._snapshot_seen_at: timedelta | None = None
+        self._snapshot: _SnapshotMark | None = None
+        self._since_snapshot = 0
+        self._warned_next = -1
         self._recent: OrderedDict[str, Verdict] = OrderedDict()
-        self._waiters: dict[str, asyncio.Future[Verdict]] = {}
+        self._waiters: dict[str, list[asyncio.Future[Verdict]]] = {}
         self._progress = asyncio.Condition()
         self._fresh_reads = 0
         self._reads_started = 0
@@ -97,14 +112,32 @@
 
     @property
     def snapshot_age(self) -> timedelta:
-        """Time since the newest snapshot of this stream was read, or since start."""
-        seen = self._snapshot_seen_at or self._started_at
-        return self._clock.monotonic() - seen
+        """Time since the newest snapshot of this stream was taken, or since start.
+
+        Counting from when it was read would make it young again with each restart, and
+        with each late snapshot of a paused process. A wall clock that is behind cannot
+        make it younger than the time since it was read.
+        """
+        if self._snapshot is None:
+            return self._clock.monotonic() - self._started_at
+        since_read = self._clock.monotonic() - self._snapshot.seen_at
+        # A chunk of an older release has no time and counts as very old.
+        seconds = self._clock.now().timestamp() - self._snapshot.taken_at
+        seconds = min(max(0.0, seconds), MAX_AGE_SECONDS)
+        return max(since_read, timedelta(seconds=seconds))
 
     @property
     def snapshot_seen(self) -> bool:
         """Whether a snapshot of this stream was read since the process started."""
-        return self._snapshot_seen_at is not None
+        return self._snapshot is not None
+
+    @property
+    def records_since_snapshot(self) -> int:
+        """Number of records after the state of the newest snapshot, or since start.
+
+        Chunks do not count, so that a large snapshot does not call for another.
+        """
+        return self._since_snapshot
 
     def is_down(self) -> bool:
         """Tell whether reads have failed for longer than ``outage_seconds``."""
@@ -119,7 +152,12 @@
 
     def build_state(self) -> FoldedState:
         """Build the state folded so far, for a snapshot or for a peer."""
-        body = StateBody(self._fold.build_state(), tuple(self._recent))
+        void = {
+            record_id: _shorten_problem(verdict.failure())
+            for record_id, verdict in self._recent.items()
+            if isinstance(verdict, Failure)
+        }
+        body = StateBody(self._fold.build_state(), tuple(self._recent), void)
         return build_state(self._next - 1, body)
 
     async def run(self) -> None:
@@ -135,18 +173,27 @@
         match await self._client.read(self.stream, self._next, PAGE_RECORDS, wait):
             case Failure(_):
                 if not self._ready and self._heard_at is None:
-                    # A process that starts during an outage takes a peer's state.
-                    await self._load_from_peer(0)
+                    await self._start_from_peer()
                 return False
             case Success(page):
                 self._heard_at = self._clock.monotonic()
                 await self._fold_page(page)
-        if self._ready and self._next >= page.end:
+        if self._ready and self._next == page.end:
             self._fresh_reads = number
         async with self._progress:
             self._progress.notify_all()
         return True
 
+    async def _start_from_peer(self) -> None:
+        """Take a peer's state in a process that starts during an outage.
+
+        The state is usable at once, because the log cannot change meanwhile.
+        """
+        if await self._load_from_peer(0) and self._next > 0:
+            self._ready = True
+            async with self._progress:
+                self._progress.notify_all()
+
     async def wait_until_ready(self) -> None:
         """Wait until the state is usable."""
         async with self._progress:
@@ -168,18 +215,20 @@
 
     def expect(self, record_id: str) -> asyncio.Future[Verdict]:
         """Return a future for the verdict on a record; see ``forget``."""
-        waiter = self._waiters.get(record_id)
-        if waiter is None:
-            waiter = asyncio.get_running_loop().create_future()
-            self._waiters[record_id] = waiter
+        waiter: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
+        self._waiters.setdefault(record_id, []).append(waiter)
         verdict = self._recent.get(record_id)
-        if verdict is not None and not waiter.done():
+        if verdict is not None:
             waiter.set_result(verdict)
         return waiter
 
-    def forget(self, record_id: str) -> None:
-        """Stop expecting a record."""
-        self._waiters.pop(record_id, None)
+    def forget(self, record_id: str, waiter: asyncio.Future[Verdict]) -> None:
+        """Stop expecting a record; others that expect it are not affected."""
+        waiters = self._waiters.get(record_id, [])
+        if waiter in waiters:
+            waiters.remove(waiter)
+        if not waiters:
+            self._waiters.pop(record_id, None)
 
     async def _fold_page(self, page: Page) -> None:
         if page.end < self._next:
@@ -222,34 +271,53 @@
             self._count("repeated")
             return
         if isinstance(record, SnapshotChunk):
-            if self._assembler.add(record) is not None:
-                self._snapshot_seen_at = self._clock.monotonic()
+            self._notice_snapshot(record)
             verdict: Verdict = Success(None)
         else:
             verdict = self._fold.apply(offset, record)
+            self._since_snapshot += 1
         self._count("valid" if isinstance(verdict, Success) else "void")
         self._remember(record_id, verdict)
         for listener in self._listeners:
             listener(offset, record, verdict)
 
+    def _notice_snapshot(self, chunk: SnapshotChunk) -> None:
+        state = self._assembler.add(chunk)
+        if state is None or isinstance(read_state(state), Failure):
+            return
+        if self._snapshot is None or state.through >= self._snapshot.through:
+            self._snapshot = _SnapshotMark(
+                state.through, self._clock.monotonic(), chunk.taken_at
+            )
+            # What was folded between the state and the snapshot's own chunks.
+            between = self._next - 1 - state.through - chunk.count
+            self._since_snapshot = max(0, between)
+
     def _remember(self, record_id: str, verdict: Verdict) -> None:
         self._recent[record_id] = verdict
         if len(self._recent) > REMEMBERED_IDS:
             self._recent.popitem(last=False)
-        waiter = self._waiters.get(record_id)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(verdict)
+        self._settle(record_id, verdict)
+
+    def _settle(self, record_id: str, verdict: Verdict) -> None:
+        for waiter in self._waiters.get(record_id, []):
+            if not waiter.done():
+                waiter.set_result(verdict)
 
     async def _recover(self, page: Page) -> None:
         """Find a state after the records that follow ours were dropped."""
-        logger.warning(
-            "records were dropped before they were read",
-            extra={
-                "stream": self.stream,
-                "next": self._next,
-                "first_available": page.first_available,
-            },
-        )
+        if self._warned_next != self._next:
+            # One line for each gap, because recovery is tried again several times a
+            # second.
+            self._warned_next = self._next
+            logger.warning(
+                "records were dropped before they were read",
+                extra={
+                    "stream": self.stream,
+                    "next": self._next,
+                    "first_available": page.first_available,
+                },
+            )
         self._ready = False
         if await self._load_from_log(page.first_available, page.end):
             return
@@ -291,14 +359,18 @@
         if state.through + 1 < max(first_available, self._next):
             return False
         match read_state(state):
-            case Success(StateBody(data, recent_ids)):
+            case Success(StateBody(data, recent_ids, void)):
                 if isinstance(self._fold.load_state(data), Failure):
                     return False
             case _:
                 return False
         self._next = state.through + 1
-        self._recent = OrderedDict((i, Success(None)) for i in recent_ids)
+        self._recent = OrderedDict(
+            (i, _restore_verdict(void.get(i))) for i in recent_ids
+        )
         self._assembler.clear()
+        for record_id in self._recent.keys() & self._waiters.keys():
+            self._settle(record_id, self._recent[record_id])
         logger.info(
             "state loaded", extra={"stream": self.stream, "through": state.through}
         )
@@ -308,6 +380,23 @@
         self._metrics.log_records.inc({"stream": self.stream, "result": result})
 
 
+def _shorten_problem(problem: Problem) -> VoidReason:
+    return VoidReason(
+        problem.kind.value,
+        problem.detail[:REMEMBERED_TEXT_LENGTH],
+        problem.where[:REMEMBERED_TEXT_LENGTH],
+        problem.expected[:REMEMBERED_TEXT_LENGTH],
+    )
+
+
+def _restore_verdict(reason: VoidReason | None) -> Verdict:
+    if reason is None:
+        return Success(None)
+    known = reason.kind in ErrorKind._value2member_map_
+    kind = ErrorKind(reason.kind) if known else ErrorKind.INTERNAL
+    return Failure(Problem(kind, reason.detail, reason.where, reason.expected))
+
+
 def describe_outage(stream: str) -> Problem:
     """Build the problem of an operation that needs the log while it is down."""
     return Problem(
--- a/tests/memory_log.py
+++ b/tests/memory_log.py
@@ -10,6 +10,7 @@
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.stream.client import Page, StoredRecord
+from tests.cases import ManualClock
 
 UNAVAILABLE = Problem(ErrorKind.LOG_UNAVAILABLE, "log is down", "log")
 
@@ -76,3 +77,10 @@
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
+
+
+class InstantClock(ManualClock):
+    """Clock whose sleepers go on at once without a change of time."""
+
+    async def sleep(self, delay: timedelta) -> None:
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/test_stream.py
@@ -0,0 +1,324 @@
+"""Tests of reader, appender and snapshots under faults of the log."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+from returns.result import Failure, Success
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.observability.metrics import Metrics
+from egretcrank.settings.schema import LogSettings
+from egretcrank.stream import maintenance, snapshots
+from egretcrank.stream import reader as reader_module
+from egretcrank.stream.appender import Appender
+from egretcrank.stream.maintenance import SnapshotWriter
+from egretcrank.stream.reader import StreamReader
+from egretcrank.stream.records import Fence, SnapshotChunk, build_entry, encode_entry
+from egretcrank.stream.snapshots import SnapshotAssembler, split_state
+from tests.cases import AsyncTestCase
+from tests.memory_log import InstantClock, MemoryLog
+
+SETTINGS = LogSettings(
+    poll_seconds=timedelta(milliseconds=10), retention_seconds=timedelta(seconds=300)
+)
+NO_WAIT = timedelta(0)
+
+
+class ListFold:
+    """Keeps the partitions of fences; odd partitions are void."""
+
+    def __init__(self):
+        self.seen = []
+
+    def apply(self, offset, record):
+        if record.partition % 2:
+            return Failure(Problem(ErrorKind.STALE_EPOCH, "odd partition"))
+        self.seen.append(record.partition)
+        return Success(None)
+
+    def build_state(self):
+        return bytes(self.seen)
+
+    def load_state(self, data):
+        self.seen = list(data)
+        return Success(None)
+
+
+class Process:
+    """Reader, appender and snapshot writer of one process."""
+
+    def __init__(self, log, clock, peer_state=None):
+        self.fold = ListFold()
+        self.reader = StreamReader(
+            "s", log, self.fold, SETTINGS, clock, Metrics(), peer_state
+        )
+        self.appender = Appender(log, self.reader, SETTINGS, clock, Metrics())
+        self.responsible = True
+        self.writer = SnapshotWriter(
+            self.reader, self.appender, SETTINGS, clock, lambda: self.responsible
+        )
+
+    @asynccontextmanager
+    async def run(self):
+        jobs = (self.reader.run, self.appender.run)
+        tasks = [asyncio.create_task(job()) for job in jobs]
+        try:
+            yield self
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def catch_up(self):
+        for _ in range(4):
+            await self.reader.advance(NO_WAIT)
+
+
+def encode(*partitions):
+    return [encode_entry(build_entry(Fence(partition=p))) for p in partitions]
+
+
+class StreamTestCase(AsyncTestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = InstantClock()
+        self.log = MemoryLog(self.clock)
+
+    def build_process(self, peer_state=None):
+        return Process(self.log, self.clock, peer_state)
+
+
+class AppenderTests(StreamTestCase):
+    def test_lost_replies_and_outages_write_each_record_once(self):
+        """Guards against records doubled or lost when replies or the log are lost."""
+
+        async def scenario():
+            async with self.build_process().run() as process:
+                verdicts = []
+                for number in range(0, 40, 4):
+                    self.log.set_faults(lose_append_replies=number % 3)
+                    outage = "unavailable" if number % 8 == 0 else ""
+                    self.log.set_faults(outage=outage)
+                    calls = [
+                        asyncio.create_task(process.appender.append(Fence(partition=p)))
+                        for p in range(number, number + 4)
+                    ]
+                    await asyncio.sleep(0.01)
+                    self.log.set_faults(outage="")
+                    verdicts += await asyncio.gather(*calls)
+                return verdicts, process.fold.seen
+
+        verdicts, seen = self.run_async(scenario())
+        self.assertEqual(list(range(0, 40, 2)), sorted(seen))
+        for partition, verdict in enumerate(verdicts):
+            self.assertIsInstance(verdict, Failure if partition % 2 else Success)
+
+    def test_append_in_outage_fails_in_time(self):
+        """Guards against writers that wait for the log without end."""
+
+        async def scenario():
+            self.log.set_faults(outage="unavailable")
+            async with self.build_process().run() as process:
+                return await process.appender.append(
+                    Fence(), timedelta(milliseconds=50)
+                )
+
+        verdict = self.run_async(scenario())
+        self.assertEqual(ErrorKind.LOG_UNAVAILABLE, verdict.failure().kind)
+
+    def test_folded_record_is_not_appended_again_when_it_was_forgotten(self):
+        """Guards against a second write after more records than are remembered."""
+        self.patch(reader_module, "REMEMBERED_IDS", 2)
+        append = self.log.append
+
+        async def append_among_others(stream, records):
+            self.patch(self.log, "append", append)
+            await append(stream, [*records, *encode(10, 12, 14, 16)])
+            return Failure(Problem(ErrorKind.LOG_UNAVAILABLE, "reply lost"))
+
+        async def scenario():
+            self.patch(self.log, "append", append_among_others)
+            async with self.build_process().run() as process:
+                verdict = await process.appender.append(Fence(partition=2))
+                await asyncio.sleep(0.05)
+                return verdict, process.fold.seen
+
+        verdict, seen = self.run_async(scenario())
+        self.assertEqual(Success(None), verdict)
+        self.assertEqual([2, 10, 12, 14, 16], seen)
+
+    def test_one_of_two_waiters_for_a_record_may_give_up(self):
+        """Guards against a repeat of an append that loses its verdict."""
+
+        async def scenario():
+            process = self.build_process()
+            entry = build_entry(Fence())
+            first = process.reader.expect(entry.record_id)
+            second = process.reader.expect(entry.record_id)
+            process.reader.forget(entry.record_id, first)
+            await self.log.append("s", [encode_entry(entry)])
+            await process.catch_up()
+            return second.done()
+
+        self.assertTrue(self.run_async(scenario()))
+
+
+class ReaderTests(StreamTestCase):
+    def test_void_record_stays_void_for_a_writer_that_recovers(self):
+        """Guards against a refused change that is reported as accepted."""
+
+        async def scenario():
+            writer, other = self.build_process(), self.build_process()
+            entry = build_entry(Fence(partition=1))
+            verdict = writer.reader.expect(entry.record_id)
+            await self.log.append("s", [encode_entry(entry)])
+            await other.catch_up()
+            chunks = split_state(other.reader.build_state(), self.clock.now())
+            await self.log.append("s", [encode_entry(build_entry(c)) for c in chunks])
+            self.log.set_faults(trim={"s": 1})
+            await writer.catch_up()
+            return verdict.result()
+
+        verdict = self.run_async(scenario())
+        self.assertEqual(ErrorKind.STALE_EPOCH, verdict.failure().kind)
+
+    def test_late_snapshot_of_a_paused_process_reverts_nothing(self):
+        """Guards against an old state that is taken over because it came last."""
+
+        async def scenario():
+            paused, process = self.build_process(), self.build_process()
+            await self.log.append("s", encode(0, 2))
+            await paused.catch_up()
+            late = split_state(paused.reader.build_state(), self.clock.now())
+            await self.log.append("s", encode(4, 6))
+            await process.catch_up()
+            new = split_state(process.reader.build_state(), self.clock.now())
+            for chunk in (*new, *late):
+                await self.log.append("s", [encode_entry(build_entry(chunk))])
+            self.log.set_faults(trim={"s": 4})
+            fresh = self.build_process()
+            for each in (process, fresh):
+                await each.catch_up()
+            self.log.set_faults(trim={"s": 5})
+            hopeless = self.build_process()
+            await hopeless.catch_up()
+            return process.fold.seen, fresh.fold.seen, hopeless.reader.position
+
+        seen, fresh, position = self.run_async(scenario())
+        self.assertEqual([0, 2, 4, 6], seen)
+        self.assertEqual([0, 2, 4, 6], fresh)
+        self.assertFalse(position.ready)
+
+    def test_process_that_starts_in_an_outage_is_ready_with_a_peer_state(self):
+        """Guards against new processes that wait for the end of an outage."""
+
+        async def scenario():
+            old = self.build_process()
+            await self.log.append("s", encode(0, 2))
+            await old.catch_up()
+            self.log.set_faults(outage="unavailable")
+
+            async def fetch(_stream):
+                return old.reader.build_state()
+
+            async with self.build_process(fetch).run() as process:
+                await asyncio.wait_for(process.reader.wait_until_ready(), 5)
+                return process.fold.seen
+
+        self.assertEqual([0, 2], self.run_async(scenario()))
+
+    def test_shorter_log_is_not_a_fresh_read(self):
+        """Guards against an append that is taken for absent in a log that lost data."""
+
+        async def scenario():
+            process = self.build_process()
+            await self.log.append("s", encode(0, 2))
+            await process.catch_up()
+            process.reader._client = MemoryLog(self.clock)
+            fresh = asyncio.create_task(
+                process.reader.wait_for_fresh_read(timedelta(milliseconds=50))
+            )
+            await asyncio.sleep(0)
+            await process.catch_up()
+            return await fresh, process.fold.seen
+
+        self.assertEqual((False, [0, 2]), self.run_async(scenario()))
+
+
+class SnapshotTests(StreamTestCase):
+    def test_incomplete_and_foreign_snapshots_are_dropped(self):
+        """Guards against memory held for writers that died, and partial states."""
+        self.patch(snapshots, "CHUNK_BYTES", 4)
+        assembler = SnapshotAssembler()
+        state = snapshots.build_state(7, snapshots.StateBody(b"0123456789"))
+        for _ in range(50):
+            assembler.add(split_state(state, self.clock.now())[0])
+        self.assertEqual(snapshots.MAX_INCOMPLETE, len(assembler._parts))
+        chunks = split_state(state, self.clock.now())
+        results = [assembler.add(chunk) for chunk in reversed(chunks)]
+        self.assertEqual(state, results[-1])
+        whole = SnapshotChunk(snapshot_id="x", scope="3", count=1)
+        self.assertIsNone(assembler.add(whole))
+
+    def test_snapshot_is_due_by_age_and_by_records(self):
+        """Guards against retention that passes without a usable snapshot."""
+        self.patch(maintenance, "MAX_RECORDS_WITHOUT_SNAPSHOT", 10)
+        self.patch(snapshots, "CHUNK_BYTES", 8)
+
+        async def scenario():
+            async with self.build_process().run() as process:
+                due = [process.writer.is_due()]
+                await process.appender.append(Fence())
+                due.append(process.writer.is_due())
+                self.assertTrue(await process.writer.write())
+                due.append(process.writer.is_due())
+                self.clock.advance(timedelta(seconds=101))
+                await process.reader.wait_for_fresh_read(timedelta(seconds=5))
+                due.append(process.writer.is_due())
+                await process.writer.write()
+                due.append(process.writer.is_due())
+                for _ in range(11):
+                    await process.appender.append(Fence())
+                due.append(process.writer.is_due())
+                return due
+
+        self.assertEqual(
+            [False, True, False, True, False, True], self.run_async(scenario())
+        )
+
+    def test_restart_and_late_snapshot_do_not_make_a_snapshot_young(self):
+        """Guards against restarts or paused processes that postpone snapshots."""
+
+        async def scenario():
+            async with self.build_process().run() as process:
+                await process.appender.append(Fence())
+                state = process.reader.build_state()
+                late = split_state(state, self.clock.now())
+                await process.writer.write()
+                self.clock.advance(timedelta(seconds=101))
+                await self.log.append("s", [encode_entry(build_entry(c)) for c in late])
+                restarted = self.build_process()
+                await restarted.catch_up()
+                await process.reader.wait_for_fresh_read(timedelta(seconds=5))
+                return process.writer.is_due(), restarted.writer.is_due()
+
+        self.assertEqual((True, True), self.run_async(scenario()))
+
+    def test_only_the_responsible_process_writes(self):
+        """Guards against every process writing snapshots at once."""
+
+        async def scenario():
+            async with self.build_process().run() as process:
+                process.responsible = False
+                await process.appender.append(Fence())
+                task = asyncio.create_task(process.writer.run())
+                await asyncio.sleep(0.02)
+                before = process.reader.snapshot_seen
+                process.responsible = True
+                while not process.reader.snapshot_seen:
+                    await asyncio.sleep(0.01)
+                task.cancel()
+                return before
+
+        self.assertFalse(self.run_async(scenario()))
