--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -7,7 +7,6 @@
 import argparse
 import json
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +17,8 @@
 
 import urllib3
 
+from bench.addresses import find_address
+
 START_LIMIT_SECONDS = 60.0
 STOP_LIMIT_SECONDS = 45.0
 POLL_SECONDS = 0.1
@@ -235,14 +236,6 @@
         return process.wait()
 
 
-def find_address() -> str:
-    """Return a loopback address with a port that was free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        host, port = probe.getsockname()
-    return f"{host}:{port}"
-
-
 def main() -> None:
     """Run a cluster until interrupted."""
     parser = argparse.ArgumentParser(description=__doc__)
--- a/src/egretcrank/ownership/shards.py
+++ b/src/egretcrank/ownership/shards.py
@@ -1,6 +1,7 @@
 """Work streams that this process follows, started on first use."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from egretcrank.clock import Clock
@@ -10,6 +11,7 @@
 from egretcrank.settings.schema import Settings
 from egretcrank.stream.appender import Appender
 from egretcrank.stream.client import LogClient
+from egretcrank.stream.maintenance import SnapshotWriter
 from egretcrank.stream.reader import PeerStateSource, StreamReader
 
 
@@ -22,7 +24,10 @@
 
 
 class Shards:
-    """Follows the work streams of the partitions that this host owns."""
+    """Follows the work streams of the partitions that this host owns.
+
+    ``is_responsible`` tells whether this process writes the snapshots of a shard.
+    """
 
     def __init__(
         self,
@@ -30,8 +35,10 @@
         client: LogClient,
         clock: Clock,
         metrics: Metrics,
+        is_responsible: Callable[[int], bool],
         peer_state: PeerStateSource | None = None,
     ) -> None:
+        self._is_responsible = is_responsible
         self._settings = settings
         self._client = client
         self._clock = clock
@@ -67,6 +74,14 @@
         )
         self._tasks.append(asyncio.create_task(reader.run()))
         self._tasks.append(asyncio.create_task(appender.run()))
+        writer = SnapshotWriter(
+            reader,
+            appender,
+            self._settings.log,
+            self._clock,
+            lambda: self._is_responsible(number),
+        )
+        self._tasks.append(asyncio.create_task(writer.run()))
         return Shard(state, reader, appender)
 
     async def close(self) -> None:
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -29,6 +29,7 @@
 from egretcrank.stream.appender import Appender
 from egretcrank.stream.client import HttpLogClient
 from egretcrank.stream.exchange import StateExchange, answer_fetch
+from egretcrank.stream.maintenance import SnapshotWriter
 from egretcrank.stream.reader import Fold, StreamReader, Verdict
 from egretcrank.stream.records import OwnerClaim, Record
 from egretcrank.transport.client import Peers
@@ -70,6 +71,8 @@
 # Submitted keys wait in the owner for their executor, so there are more contexts than
 # slots on one host.
 SUBMIT_CONTEXTS = 64
+# Its owner writes the snapshots of the streams that all processes read.
+SHARED_STREAMS_PARTITION = 0
 LOG_THREADS = 16
 WORKER_THREADS = 4
 EVENTS_TIMEOUT = timedelta(seconds=2)
@@ -107,11 +110,15 @@
         self._lists = ListsState()
         self._lists_reader = self._build_reader("lists", self._lists)
         self._owners_reader.listen(self._notice_owner)
-        self._owners_appender = Appender(
-            self._log, self._owners_reader, settings.log, clock, self._metrics
-        )
+        self._owners_appender = self._build_appender(self._owners_reader)
+        self._lists_appender = self._build_appender(self._lists_reader)
         self._shards = Shards(
-            settings, self._log, clock, self._metrics, self._exchange.fetch
+            settings,
+            self._log,
+            clock,
+            self._metrics,
+            self._is_responsible,
+            self._exchange.fetch,
         )
         self._state = "serving"
         self._announcer = Announcer(
@@ -197,6 +204,29 @@
             self._exchange.fetch,
         )
 
+    def _build_appender(self, reader: StreamReader) -> Appender:
+        return Appender(
+            self._log, reader, self._settings.log, self._clock, self._metrics
+        )
+
+    def _build_snapshot_writer(
+        self, reader: StreamReader, appender: Appender
+    ) -> SnapshotWriter:
+        return SnapshotWriter(
+            reader,
+            appender,
+            self._settings.log,
+            self._clock,
+            lambda: self._is_responsible(SHARED_STREAMS_PARTITION),
+        )
+
+    def _is_responsible(self, partition: int) -> bool:
+        """Tell whether this process writes the snapshots that go with a partition.
+
+        The lowest partition of a shard has the number of the shard.
+        """
+        return partition in self._partitions.list_partitions()
+
     def _list_state_sources(self) -> list[str]:
         members = self._announcer.list_members()
         return [
@@ -230,6 +260,14 @@
             asyncio.create_task(self._owners_reader.run()),
             asyncio.create_task(self._lists_reader.run()),
             asyncio.create_task(self._owners_appender.run()),
+            asyncio.create_task(self._lists_appender.run()),
+            *(
+                asyncio.create_task(self._build_snapshot_writer(*stream).run())
+                for stream in (
+                    (self._owners_reader, self._owners_appender),
+                    (self._lists_reader, self._lists_appender),
+                )
+            ),
             asyncio.create_task(self._announcer.run()),
             asyncio.create_task(self._claimant.run()),
         ]
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -8,6 +8,7 @@
 from click.testing import CliRunner
 from returns.result import Failure, Success
 
+from bench.addresses import find_address
 from bench.standins import log_service
 from egretcrank.cli import lists as commands
 from egretcrank.cli.main import main
@@ -17,7 +18,6 @@
 from egretcrank.lists.publication import Publisher, Request, check_lists, load_lists
 from egretcrank.observability.metrics import Metrics
 from egretcrank.settings.schema import LogSettings
-from tests.addresses import find_address
 from tests.cases import AsyncTestCase
 from tests.memory_log import InstantClock, MemoryLog
 
--- a/tests/test_log_service.py
+++ b/tests/test_log_service.py
@@ -9,10 +9,10 @@
 import urllib3
 from returns.result import Failure, Success
 
+from bench.addresses import find_address
 from bench.standins import log_service
 from egretcrank.stream.client import HttpLogClient
 from egretcrank.transport.threads import ThreadBridge
-from tests.addresses import find_address
 from tests.cases import AsyncTestCase
 
 NO_WAIT = timedelta(0)
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -5,12 +5,12 @@
 
 from returns.result import Failure, Success
 
+from bench.addresses import find_address
 from egretcrank.clock import SystemClock
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.transport.client import Peer
 from egretcrank.transport.server import Server
 from egretcrank.wire.messages import DescribeProcess, Message, ProcessStatus, Submit
-from tests.addresses import find_address
 from tests.cases import AsyncTestCase
 
 TIMEOUT = timedelta(seconds=5)
