--- /dev/null
+++ b/bench/standins/worker.py
@@ -0,0 +1,393 @@
+"""Stand-in for the platform's worker: simulated tasks under leases.
+
+Run it with ``python -m bench.standins.worker --address 127.0.0.1:7100``. Commands are
+``sleep S``, ``checkpointable S`` (may be checkpointed and continued) and ``fail``.
+``GET /history`` returns every start and stop; ``POST /faults`` sets ``Faults``.
+"""
+
+import argparse
+import threading
+import time
+import uuid
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import msgspec
+from cheroot import wsgi
+
+from egretcrank.host.worker import (
+    AttemptOrder,
+    Lease,
+    RenewOrder,
+    StartOrder,
+    UsageReport,
+    WorkerTask,
+    WorkerView,
+)
+from egretcrank.jobs.model import add_resources, fits, subtract_resources
+from egretcrank.wire.messages import Resources
+
+FAIL_SECONDS = 0.05
+USAGE_PERIOD_SECONDS = 1.0
+KEPT_USAGE = 10_000
+
+
+class RefusedOrderError(Exception):
+    """An order that the worker does not carry out."""
+
+
+class Faults(msgspec.Struct, frozen=True):
+    """Injected faults: fail or refuse every start, delay every answer."""
+
+    fail: bool = False
+    refuse: bool = False
+    delay_seconds: float = 0.0
+
+
+class HistoryEvent(msgspec.Struct, frozen=True):
+    """Start or stop of an attempt; ``state`` is ``running`` for a start."""
+
+    at: float
+    task: str
+    attempt: int
+    state: str
+    resources: Resources
+
+
+class _Running(msgspec.Struct):
+    """A running attempt; ``done_seconds`` is the work done up to ``seen_at``."""
+
+    task: WorkerTask
+    needed_seconds: float
+    done_seconds: float
+    seen_at: float
+    started_at: float
+    valid_until: float
+    fails: bool
+    share: float = 1.0
+
+    def find_end(self) -> float:
+        """Return when the attempt will have done its work."""
+        left = max(0.0, self.needed_seconds - self.done_seconds)
+        return self.seen_at + left / self.share
+
+
+class SimulatedWorker:
+    """The worker without its HTTP interface; ``now`` is its monotonic clock."""
+
+    def __init__(
+        self,
+        capacity: Resources,
+        now: Callable[[], float] = time.monotonic,
+        usage_lag_seconds: float = 2.0,
+        instance: str = "",
+    ) -> None:
+        self.capacity = capacity
+        self.faults = Faults()
+        self.history: list[HistoryEvent] = []
+        self._now = now
+        self._lag = usage_lag_seconds
+        self._instance = instance or uuid.uuid4().hex
+        self._incarnation = 0
+        self._running: dict[tuple[str, int], _Running] = {}
+        self._ended: dict[tuple[str, int], WorkerTask] = {}
+        self._usage: list[UsageReport] = []
+        self._sequence = 0
+        self._measured_at = now()
+
+    def list_tasks(self, incarnation: int) -> WorkerView:
+        """List tasks and refuse orders of older sidecars from now on."""
+        self._check_incarnation(incarnation)
+        self._advance()
+        tasks = [self._describe(run) for run in self._running.values()]
+        return WorkerView(
+            self._instance,
+            self._now(),
+            self.capacity,
+            (*tasks, *self._ended.values()),
+        )
+
+    def start(self, order: StartOrder) -> WorkerTask:
+        """Start an attempt whose lease has not lapsed."""
+        self._check_order(order.incarnation, order.instance)
+        self._advance()
+        key = (order.task, order.attempt)
+        if key in self._running:
+            return self._describe(self._running[key])
+        if key in self._ended:
+            return self._ended[key]
+        if self.faults.refuse:
+            raise RefusedOrderError("worker refuses every start")
+        if order.valid_until <= self._now():
+            raise RefusedOrderError("lease has lapsed")
+        needed, fails = _parse_command(order.command)
+        done = 0.0
+        if order.command.startswith("checkpointable") and order.checkpoint:
+            done = float(order.checkpoint.rpartition("@")[2])
+        task = WorkerTask(
+            order.task,
+            order.attempt,
+            order.partition,
+            order.job,
+            checkpoint=order.checkpoint,
+            resources=order.resources,
+        )
+        now = self._now()
+        run = _Running(
+            task, needed, done, now, now, order.valid_until, fails or self.faults.fail
+        )
+        if run.fails:
+            run.needed_seconds, run.done_seconds = FAIL_SECONDS, 0.0
+        run.task = msgspec.structs.replace(task, result=order.command)
+        self._running[key] = run
+        self._note(now, run.task, "running")
+        return self._describe(run)
+
+    def renew(self, order: RenewOrder) -> None:
+        """Extend the leases of attempts that still run."""
+        self._check_order(order.incarnation, order.instance)
+        self._advance()
+        for lease in order.leases:
+            self._extend(lease)
+
+    def checkpoint(self, order: AttemptOrder) -> str:
+        """Write a checkpoint of an attempt that can be continued."""
+        run = self._find(order)
+        if not run.task.result.startswith("checkpointable"):
+            raise RefusedOrderError("the command cannot be checkpointed")
+        name = f"{order.task}#{order.attempt}@{run.done_seconds:.3f}"
+        run.task = msgspec.structs.replace(run.task, checkpoint=name)
+        return name
+
+    def throttle(self, order: AttemptOrder) -> None:
+        """Slow an attempt down."""
+        run = self._find(order)
+        run.share = min(1.0, max(0.01, order.share))
+
+    def stop(self, order: AttemptOrder) -> WorkerTask:
+        """Stop an attempt, or make sure that it never starts."""
+        self._check_incarnation(order.incarnation)
+        self._advance()
+        key = (order.task, order.attempt)
+        if key in self._running:
+            self._finish(key, self._now(), "stopped", "stopped by order")
+        elif key not in self._ended:
+            reason = "stopped before its start"
+            self._ended[key] = WorkerTask(*key, state="stopped", reason=reason)
+        return self._ended[key]
+
+    def forget(self, order: AttemptOrder) -> None:
+        """Drop the final state of an attempt."""
+        self._check_incarnation(order.incarnation)
+        self._ended.pop((order.task, order.attempt), None)
+
+    def read_usage(self, after: int) -> Sequence[UsageReport]:
+        """Return reports whose period ended at least the lag ago."""
+        self._advance()
+        limit = self._now() - self._lag
+        return [u for u in self._usage if u.sequence > after and u.period_end <= limit]
+
+    def _check_incarnation(self, incarnation: int) -> None:
+        if incarnation < self._incarnation:
+            raise RefusedOrderError(
+                f"sidecar {incarnation} was replaced by {self._incarnation}"
+            )
+        self._incarnation = incarnation
+
+    def _check_order(self, incarnation: int, instance: str) -> None:
+        self._check_incarnation(incarnation)
+        if instance != self._instance:
+            raise RefusedOrderError("order is for another instance of the worker")
+
+    def _find(self, order: AttemptOrder) -> _Running:
+        self._check_incarnation(order.incarnation)
+        self._advance()
+        run = self._running.get((order.task, order.attempt))
+        if run is None:
+            raise RefusedOrderError("the attempt does not run")
+        return run
+
+    def _extend(self, lease: Lease) -> None:
+        run = self._running.get((lease.task, lease.attempt))
+        if run is not None and lease.valid_until > self._now():
+            run.valid_until = max(run.valid_until, lease.valid_until)
+
+    def _describe(self, run: _Running) -> WorkerTask:
+        progress = min(1.0, run.done_seconds / max(run.needed_seconds, 1e-9))
+        return msgspec.structs.replace(run.task, progress=progress, result="")
+
+    def _advance(self) -> None:
+        """End what has finished or lapsed by now, at the time when it did."""
+        now = self._now()
+        self._measure(now)
+        for key, run in list(self._running.items()):
+            end = run.find_end()
+            if run.valid_until <= min(now, end):
+                self._finish(key, run.valid_until, "stopped", "lease lapsed")
+            elif end <= now:
+                self._finish(key, end, "failed" if run.fails else "done", "")
+            else:
+                run.done_seconds += (now - run.seen_at) * run.share
+                run.seen_at = now
+
+    def _finish(self, key: tuple[str, int], at: float, state: str, why: str) -> None:
+        run = self._running.pop(key)
+        reason = why or ("command failed" if state == "failed" else "")
+        result = f"{run.task.result} done" if state == "done" else ""
+        ended = msgspec.structs.replace(
+            run.task, state=state, reason=reason, result=result
+        )
+        self._ended[key] = ended
+        self._note(at, ended, state)
+
+    def _note(self, at: float, task: WorkerTask, state: str) -> None:
+        self.history.append(
+            HistoryEvent(at, task.task, task.attempt, state, task.resources)
+        )
+
+    def _measure(self, now: float) -> None:
+        if now - self._measured_at < USAGE_PERIOD_SECONDS:
+            return
+        for run in self._running.values():
+            declared = run.task.resources
+            usage = Resources(
+                declared.processors * run.share,
+                declared.memory_mib,
+                declared.accelerators,
+            )
+            self._sequence += 1
+            start = max(self._measured_at, run.started_at)
+            self._usage.append(
+                UsageReport(
+                    self._sequence, run.task.task, run.task.attempt, start, now, usage
+                )
+            )
+        self._measured_at = now
+        del self._usage[:-KEPT_USAGE]
+
+
+def _parse_command(command: str) -> tuple[float, bool]:
+    """Return the seconds of work of a command and whether it fails."""
+    name, _, argument = command.partition(" ")
+    if name == "fail":
+        return FAIL_SECONDS, True
+    if name not in {"sleep", "checkpointable"}:
+        raise RefusedOrderError(f"command {command!r} is not known")
+    try:
+        return float(argument), False
+    except ValueError:
+        raise RefusedOrderError(
+            f"command {command!r} has no number of seconds"
+        ) from None
+
+
+class HostHistory(NamedTuple):
+    """History of one worker with its capacity for tasks."""
+
+    events: Sequence[HistoryEvent]
+    capacity: Resources
+
+
+def find_violations(histories: Mapping[str, HostHistory]) -> list[str]:
+    """List tasks that ran twice at once, attempts that started twice, and overload."""
+    violations: list[str] = []
+    running: dict[str, tuple[str, int]] = {}
+    started: set[tuple[str, int]] = set()
+    used = {host: Resources() for host in histories}
+    merged = [(e, host) for host, h in histories.items() for e in h.events]
+    # At equal times a stop comes before a start.
+    merged.sort(key=lambda pair: (pair[0].at, pair[0].state == "running"))
+    for event, host in merged:
+        where = f"{event.task}#{event.attempt} on {host} at {event.at:.3f}"
+        if event.state != "running":
+            used[host] = subtract_resources(used[host], event.resources)
+            if running.get(event.task) == (host, event.attempt):
+                del running[event.task]
+            continue
+        if event.task in running:
+            violations.append(f"{where}: also runs as {running[event.task]}")
+        if (event.task, event.attempt) in started:
+            violations.append(f"{where}: this attempt started before")
+        running[event.task] = (host, event.attempt)
+        started.add((event.task, event.attempt))
+        used[host] = add_resources(used[host], event.resources)
+        if not fits(used[host], histories[host].capacity):
+            violations.append(f"{where}: {used[host]} exceeds the capacity")
+    return violations
+
+
+class _Application:
+    """HTTP interface of the worker."""
+
+    def __init__(self, worker: SimulatedWorker) -> None:
+        self._worker = worker
+        self._lock = threading.Lock()
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+        body = environ["wsgi.input"].read(length)
+        path = environ["PATH_INFO"].strip("/")
+        if path != "faults":
+            time.sleep(self._worker.faults.delay_seconds)
+        try:
+            with self._lock:
+                status, answer = "200 OK", self._answer(path, body)
+        except RefusedOrderError as refusal:
+            status, answer = "409 Conflict", str(refusal)
+        except msgspec.MsgspecError as error:
+            status, answer = "400 Bad Request", str(error)
+        headers = [("Content-Type", "application/json")]
+        start_response(status, headers)
+        return [msgspec.json.encode(answer)]
+
+    def _answer(self, path: str, body: bytes) -> Any:
+        worker = self._worker
+        match path:
+            case "list":
+                return worker.list_tasks(msgspec.json.decode(body)["incarnation"])
+            case "start":
+                return worker.start(msgspec.json.decode(body, type=StartOrder))
+            case "renew":
+                return worker.renew(msgspec.json.decode(body, type=RenewOrder))
+            case "usage":
+                return worker.read_usage(msgspec.json.decode(body)["after"])
+            case "checkpoint" | "throttle" | "stop" | "forget":
+                order = msgspec.json.decode(body, type=AttemptOrder)
+                return getattr(worker, path)(order)
+            case "history":
+                worker.list_tasks(worker._incarnation)
+                return worker.history
+            case "faults":
+                worker.faults = msgspec.json.decode(body, type=Faults)
+                return None
+        raise RefusedOrderError(f"path {path!r} is not known")
+
+
+def build_server(address: str, worker: SimulatedWorker) -> Any:
+    """Build the HTTP server of a worker."""
+    host, _, port = address.rpartition(":")
+    return wsgi.Server((host, int(port)), _Application(worker), numthreads=4)
+
+
+def main() -> None:
+    """Serve a worker until interrupted."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--processors", type=float, default=16)
+    parser.add_argument("--memory-mib", type=float, default=61440)
+    parser.add_argument("--accelerators", type=float, default=2)
+    parser.add_argument("--usage-lag-seconds", type=float, default=2)
+    options = parser.parse_args()
+    capacity = Resources(options.processors, options.memory_mib, options.accelerators)
+    worker = SimulatedWorker(capacity, usage_lag_seconds=options.usage_lag_seconds)
+    server = build_server(options.address, worker)
+    try:
+        server.start()
+    except KeyboardInterrupt:
+        server.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/egretcrank/host/tasks.py
+++ b/src/egretcrank/host/tasks.py
@@ -301,8 +301,8 @@
     ) -> Problem | None:
         holder = f"{attempt.task}#{attempt.number}"
         match self.ledger.reserve(holder, message.resources):
-            case Failure(Problem() as problem):
-                return problem
+            case Failure(Problem() as refusal):
+                return refusal
             case _:
                 pass
         view = self._view
@@ -341,15 +341,15 @@
         match await self._worker.start(order):
             case Success(started):
                 self._merge(attempt, started)
-            case Failure(Problem() as problem):
+            case Failure(Problem() as failure):
                 # Without a reply the order may be on its way until its lease lapses.
-                if problem.kind is ErrorKind.CALL_TIMEOUT:
-                    return problem
+                if failure.kind is ErrorKind.CALL_TIMEOUT:
+                    return failure
                 self._drop(attempt)
                 # The kind of the worker's failure would read as one of the call here.
                 return Problem(
                     ErrorKind.NO_CAPACITY,
-                    f"worker refused: {problem.detail}",
+                    f"worker refused: {failure.detail}",
                     self._host,
                 )
         self._metrics.tasks.inc({"state": "started"})
@@ -462,7 +462,7 @@
         """Read what the worker runs; must be called with the lock held."""
         asked_at = self._clock.monotonic()
         match await self._worker.list_tasks(self._incarnation):
-            case Success(view):
+            case Success(WorkerView() as view):
                 restarted = self._view is not None and (
                     self._view.instance != view.instance
                 )
--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -601,6 +601,7 @@
             self._clock.monotonic(),
         )
         self._unresolved.pop(report.task, None)
+        self._closed.add(report.task)
         self._decide(report.task, "adopt", host, f"host reported it {report.state}")
 
     async def _record_end(
