Run batch tasks on workers in the cluster runner and the smoke run

Cause: batch work had not run on real processes. Change: each host of the runner has a worker stand-in; the smoke run submits a job of six tasks twice under one key and checks starts and results.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -1,7 +1,7 @@
 """Runner that starts the whole path on loopback as separate processes.
 
-Each host is a sidecar with an upstream stand-in. The runner starts and ends processes;
-the daemons start none.
+Each host is a sidecar with stand-ins of an upstream and a worker. The runner starts and
+ends processes; the daemons start none.
 """
 
 import argparse
@@ -33,6 +33,11 @@
     hosts_per_rack: int = 3
     slots: int = 8
     service_seconds: float = 0.02
+    processors: float = 16.0
+    memory_mib: float = 61440.0
+    accelerators: float = 2.0
+    service_processors: float = 11.0
+    service_memory_mib: float = 30720.0
     partitions: int = 8
     shards: int = 2
     retention_seconds: float = 86400.0
@@ -53,6 +58,7 @@
     control: str
     requests: str
     upstream: str
+    worker: str
 
 
 class Cluster:
@@ -80,6 +86,7 @@
             find_address(),
             find_address(),
             find_address(),
+            find_address(),
         )
 
     @property
@@ -92,6 +99,7 @@
         self.start_log()
         for host in self.hosts:
             self.start_upstream(host)
+            self.start_worker(host)
             self.start_sidecar(host)
         for name, *_ in self.entries:
             self.start_entry(name)
@@ -121,6 +129,21 @@
             str(self.layout.service_seconds),
         )
 
+    def start_worker(self, host: Host) -> None:
+        """Start the stand-in of a host's worker."""
+        self._start_module(
+            f"worker-{host.name}",
+            "bench.standins.worker",
+            "--address",
+            host.worker,
+            "--processors",
+            str(self.layout.processors),
+            "--memory-mib",
+            str(self.layout.memory_mib),
+            "--accelerators",
+            str(self.layout.accelerators),
+        )
+
     def start_sidecar(self, host: Host) -> None:
         """Start the sidecar of a host."""
         text = self._build_common(host.name, host.failure_domain, host.rack)
@@ -128,6 +151,9 @@
         text += f"[upstream]\naddress = {host.upstream}\n"
         text += f"services = {', '.join(self.layout.services)}\n"
         text += f"slots = {self.layout.slots}\n"
+        text += f"processors = {self.layout.service_processors}\n"
+        text += f"memory_mib = {self.layout.service_memory_mib}\n"
+        text += f"[worker]\naddress = {host.worker}\n"
         self._start_daemon(host.name, "sidecar", text)
 
     def start_entry(self, name: str) -> None:
--- a/bench/smoke.py
+++ b/bench/smoke.py
@@ -21,6 +21,20 @@
 TIMEOUT_SECONDS = 15.0
 IN_FORCE_LIMIT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+JOB_LIMIT_SECONDS = 60.0
+JOB = {
+    "customer": "courier",
+    "kind": "bundle",
+    "tasks": [
+        {
+            "name": f"part-{number}",
+            "command": "sleep 1",
+            "resources": {"processors": 1.0, "memory_mib": 512.0},
+            "run_seconds": 1.0,
+        }
+        for number in range(6)
+    ],
+}
 
 LISTS = """
 [plans/member]
@@ -93,6 +107,63 @@
             self.mismatches.append(mismatch)
 
 
+class JobRun:
+    """One batch job of several tasks, followed to its end."""
+
+    def __init__(self, cluster: Cluster, smoke: Smoke) -> None:
+        self._address = cluster.http_addresses[0]
+        self._smoke = smoke
+        self._http = urllib3.PoolManager(retries=False)
+        self.job = ""
+
+    def submit(self) -> None:
+        """Submit the job twice under one key; both must name the same job."""
+        names = {self._request("POST", "", JOB)["job"] for _ in range(2)}
+        if len(names) != 1:
+            self._smoke.report(f"one key was accepted as {len(names)} jobs")
+        self.job = names.pop()
+
+    def wait_for_end(self) -> dict[str, int]:
+        """Return how many tasks ended in each state."""
+        deadline = time.monotonic() + JOB_LIMIT_SECONDS
+        while True:
+            reply = self._request("GET", f"/{self.job}", None)
+            if reply["state"] == "ended":
+                break
+            if time.monotonic() > deadline:
+                self._smoke.report(f"job has not ended: {reply}")
+                break
+            time.sleep(POLL_SECONDS)
+        states = Counter(task["state"] for task in reply["tasks"])
+        if states != Counter(done=len(JOB["tasks"])):
+            self._smoke.report(f"tasks of the job ended as {dict(states)}")
+        self._request("POST", f"/{self.job}/acknowledge", None)
+        return dict(states)
+
+    def _request(self, method: str, path: str, document: Any) -> Any:
+        reply = self._http.request(
+            method,
+            f"http://{self._address}/v1/jobs{path}",
+            body=json.dumps(document).encode() if document else None,
+            headers={"Idempotency-Key": "smoke-job"},
+            timeout=TIMEOUT_SECONDS,
+        )
+        answer = json.loads(reply.data)
+        if reply.status != 200:
+            raise RuntimeError(f"{method} {path}: {answer}")
+        return answer
+
+
+def check_workers(cluster: Cluster, smoke: Smoke, tasks: int) -> None:
+    """Check that each task was started once over all workers."""
+    starts: Counter[str] = Counter()
+    for host in cluster.hosts:
+        for event in cluster.fetch(host.worker, "/history"):
+            starts[event["task"]] += event["state"] == "running"
+    if len(starts) != tasks or any(n != 1 for n in starts.values()):
+        smoke.report(f"tasks were started {dict(starts)}")
+
+
 def publish_lists(cluster: Cluster, processors: int) -> int:
     """Publish lists with the operators' command and return the new revision."""
     path = cluster.directory / f"lists-{processors}.ini"
@@ -149,7 +220,9 @@
             smoke.report(f"{body} ran {count} times")
 
 
-def summarize(smoke: Smoke, in_force: float | None) -> dict[str, Any]:
+def summarize(
+    smoke: Smoke, in_force: float | None, tasks: dict[str, int]
+) -> dict[str, Any]:
     """Build the summary that is printed."""
     seconds = defaultdict(list)
     for call in smoke.calls:
@@ -159,6 +232,7 @@
     every = sorted(t for times in seconds.values() for t in times)
     return {
         "answered": answered,
+        "tasks": tasks,
         "errors": dict(Counter(c.problem for c in smoke.calls if c.problem)),
         "p50_ms": round(1000 * every[len(every) // 2], 1) if every else None,
         "p99_ms": round(1000 * every[int(len(every) * 0.99)], 1) if every else None,
@@ -172,6 +246,8 @@
     cluster.start()
     smoke = Smoke(cluster)
     wait_until_in_force(cluster, publish_lists(cluster, 10))
+    job = JobRun(cluster, smoke)
+    job.submit()
     with ThreadPoolExecutor(CALLERS) as pool:
         for number in range(REQUESTS_PER_CLASS):
             for service in cluster.layout.services:
@@ -179,12 +255,14 @@
         in_force = wait_until_in_force(cluster, publish_lists(cluster, 20))
     if in_force is None:
         smoke.report("the list change is not in force everywhere")
+    tasks = job.wait_for_end()
     check_upstreams(cluster, smoke)
+    check_workers(cluster, smoke, len(JOB["tasks"]))
     codes = cluster.stop()
     smoke.mismatches.extend(
         f"{name} ended with {code}" for name, code in codes.items() if code
     )
-    return summarize(smoke, in_force)
+    return summarize(smoke, in_force, tasks)
 
 
 def main() -> int:
