--- a/src/egretcrank/cli/lists.py
+++ b/src/egretcrank/cli/lists.py
@@ -42,6 +42,8 @@
 EXIT_REFUSED = 1
 EXIT_LOG_UNAVAILABLE = 3
 CURRENT_TIMEOUT = timedelta(seconds=10)
+# A person would rather wait for a slow log than not know what became of a change.
+APPEND_TIMEOUT = timedelta(seconds=15)
 # The process ends only after the read in flight, so a read must not wait for long.
 POLL = timedelta(milliseconds=100)
 # One read and one append are in flight at a time, and one may have been given up.
@@ -231,7 +233,9 @@
     action: Callable[[Publisher], Awaitable[None]],
 ) -> None:
     """Run a command once the lists in force are known."""
-    log = dataclasses.replace(_choose_log(settings, address), poll_seconds=POLL)
+    log = dataclasses.replace(
+        _choose_log(settings, address), poll_seconds=POLL, append_seconds=APPEND_TIMEOUT
+    )
     asyncio.run(_follow(log, as_json, action))
 
 
--- a/src/egretcrank/lists/publication.py
+++ b/src/egretcrank/lists/publication.py
@@ -107,9 +107,20 @@
             async with asyncio.timeout(timeout.total_seconds()):
                 await self._reader.wait_until_ready()
         except TimeoutError:
-            return Failure(describe_outage(LISTS_STREAM))
+            return Failure(self._describe_not_current())
         return Success(None)
 
+    def _describe_not_current(self) -> Problem:
+        if not self._reader.has_gap:
+            return describe_outage(LISTS_STREAM)
+        return Problem(
+            ErrorKind.LOG_UNAVAILABLE,
+            f"records of stream {LISTS_STREAM} were dropped and no snapshot in it is"
+            " usable",
+            LISTS_STREAM,
+            "a snapshot by a process that has the state",
+        )
+
     def compare(self, lists: CheckedLists) -> Difference:
         """Compare the lists in force with checked lists."""
         return find_difference(self.state.raw, lists)
@@ -140,7 +151,7 @@
         self._own_revision = None
         verdict = await self._appender.append(self._own_change)
         if isinstance(verdict, Failure):
-            return verdict
+            return verdict.alt(_explain_outage)
         revision = self._own_revision or self.state.revision
         return Success(Published(revision, base, difference))
 
@@ -163,3 +174,10 @@
         # is noted when its own record is folded.
         if record == self._own_change and isinstance(verdict, Success):
             self._own_revision = self.state.revision
+
+
+def _explain_outage(problem: Problem) -> Problem:
+    if problem.kind is not ErrorKind.LOG_UNAVAILABLE:
+        return problem
+    detail = f"{problem.detail}; the change may still come into force, see the history"
+    return problem._replace(detail=detail)
--- a/src/egretcrank/stream/reader.py
+++ b/src/egretcrank/stream/reader.py
@@ -139,6 +139,11 @@
         """
         return self._since_snapshot
 
+    @property
+    def has_gap(self) -> bool:
+        """Whether records were dropped unread and no state after them was found."""
+        return self._warned_next == self._next
+
     def is_down(self) -> bool:
         """Tell whether reads have failed for longer than ``outage_seconds``."""
         heard_at = self._heard_at or self._started_at
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -148,6 +148,21 @@
         self.assertIsInstance(stale, Failure)
         self.assertEqual(1, log.faults.counters["appends"])
 
+    def test_dropped_lists_are_told_apart_from_an_outage(self):
+        """Guards against operators who wait for a log that is up."""
+        log = MemoryLog()
+
+        async def scenario():
+            await log.append("lists", [b"{}"])
+            log.set_faults(trim={"lists": 1})
+            publisher = Publisher(log, LogSettings(), InstantClock(), Metrics())
+            async with publisher.follow():
+                return await publisher.wait_until_current(commands.POLL)
+
+        problem = self.run_async(scenario()).failure()
+        self.assertEqual(ErrorKind.LOG_UNAVAILABLE, problem.kind)
+        self.assertIn("no snapshot", problem.detail)
+
 
 class CommandTests(AsyncTestCase):
     def setUp(self):
