Give states to peers only while they are current

Cause: a starting process takes a peer's state for current while the log is down, but a peer that was itself starting also answered. Change: only a reader that has reached the end of its stream answers.

--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -168,7 +168,7 @@
         self, request: Execute, key: str
     ) -> Result[Executed, Problem]:
         """Answer a request of a customer in the lists, by its name or an alias."""
-        if not self._lists_reader.has_state:
+        if not self._lists_reader.position.ready:
             detail = "the lists in force are not read yet"
             return Failure(
                 Problem(ErrorKind.STARTING, detail, retry_after=timedelta(seconds=1))
@@ -185,7 +185,7 @@
 
     async def handle_job(self, message: JobRequest) -> Result[JobReply, Problem]:
         """Handle a request on batch work."""
-        if not self._lists_reader.has_state:
+        if not self._lists_reader.position.ready:
             detail = "the lists in force are not read yet"
             return Failure(
                 Problem(ErrorKind.STARTING, detail, retry_after=timedelta(seconds=1))
--- a/src/egretcrank/stream/exchange.py
+++ b/src/egretcrank/stream/exchange.py
@@ -45,7 +45,8 @@
 def answer_fetch(message: FetchState, readers: Mapping[str, StreamReader]) -> Message:
     """Answer a peer that asks for the state of a stream."""
     reader = readers.get(message.stream)
-    if reader is None or not reader.has_state:
+    # A starting process takes the state for current while the log is down.
+    if reader is None or not reader.position.ready:
         detail = f"no state of stream {message.stream!r} here"
         return build_refusal(Problem(ErrorKind.NOT_FOUND, detail, "stream"))
     state = reader.build_state()
--- a/src/egretcrank/stream/reader.py
+++ b/src/egretcrank/stream/reader.py
@@ -110,14 +110,6 @@
         """Next offset to fold, whether the state is usable, whether the log is down."""
         return Position(self._next, self._ready, self.is_down())
 
-    @property
-    def has_state(self) -> bool:
-        """Whether the state is that of the log at some time since the start.
-
-        It is also true for a state from a peer, while the log is down.
-        """
-        return self._ready or self._next > 0
-
     @property
     def snapshot_age(self) -> timedelta:
         """Time since the newest snapshot of this stream was taken, or since start.
