--- a/src/egretcrank/host/tasks.py
+++ b/src/egretcrank/host/tasks.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Collection, Mapping, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -62,6 +62,13 @@
         return self.report.state in ACTIVE_REPORTS
 
 
+class Finished(NamedTuple):
+    """An acknowledged attempt; ``valid_until`` is that of its start order."""
+
+    at: float
+    valid_until: float
+
+
 class TaskHost:
     """Runs tasks of remote owners on the local worker.
 
@@ -100,10 +107,10 @@
         self._epochs: dict[int, int] = {}
         self._stamps: dict[int, float] = {}
         self._tasks: dict[Attempt, HostTask] = {}
-        # Both maps hold the time of the entry. A message that is older than a session
-        # is refused by its stamp, so entries are needed for one session only.
+        # A message that is older than a session is refused by its stamp, so both maps
+        # need an entry for one session only.
         self._refused: dict[Attempt, float] = {}
-        self._finished: dict[Attempt, float] = {}
+        self._finished: dict[Attempt, Finished] = {}
 
     @property
     def is_ready(self) -> bool:
@@ -137,6 +144,7 @@
         async with self._lock:
             await self._read_worker()
             await self._renew_leases()
+            await self._forget_finished()
         await self._deliver_reports()
 
     async def handle(self, message: TaskMessage) -> Reply:
@@ -493,15 +501,29 @@
                 # The worker refuses the order by now, so it can never start.
                 self._drop(attempt)
                 self._refused[attempt] = self._read_stamp()
-        self._expire_tombstones()
+        self._expire_tombstones(listed.keys())
 
-    def _expire_tombstones(self) -> None:
+    async def _forget_finished(self) -> None:
+        """Let the worker drop attempts that no start order can start again."""
+        view = self._view
+        if view is None:
+            return
+        for found in view.tasks:
+            attempt = Attempt(found.task, found.attempt)
+            finished = self._finished.get(attempt)
+            # Until then a delayed copy of the order would find no trace of the attempt.
+            if finished is not None and view.clock >= finished.valid_until:
+                await self._worker.forget(AttemptOrder(self._incarnation, *attempt))
+
+    def _expire_tombstones(self, listed: Collection[Attempt]) -> None:
         oldest = self._read_stamp() - (
             2 * self._settings.cluster.session_seconds.total_seconds()
         )
-        for tombstones in (self._refused, self._finished):
-            for attempt in [a for a, t in tombstones.items() if t < oldest]:
-                del tombstones[attempt]
+        for attempt in [a for a, at in self._refused.items() if at < oldest]:
+            del self._refused[attempt]
+        for attempt, finished in list(self._finished.items()):
+            if finished.at < oldest and attempt not in listed:
+                del self._finished[attempt]
 
     def _merge(self, attempt: Attempt, found: WorkerTask) -> None:
         """Take over what the worker says about an attempt; final states stay."""
@@ -580,9 +602,9 @@
                 if task.is_active:
                     self._tasks[attempt] = task._replace(reported=True)
                     continue
-                self._finished[attempt] = self._read_stamp()
+                now = self._read_stamp()
+                self._finished[attempt] = Finished(now, task.valid_until)
                 self._drop(attempt)
-                await self._worker.forget(AttemptOrder(self._incarnation, *attempt))
 
     def _record(
         self, subject: str, action: str, choice: str, reason: str, message: object
--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -165,13 +165,18 @@
 
 
 class Placement(NamedTuple):
-    """Where an attempt was sent; ``confirmed`` once the host reported it."""
+    """Where an attempt was sent.
+
+    It is ``confirmed`` once the host reported it, and ``refused`` once the host
+    refused it for good and only the record of that is missing.
+    """
 
     host: str
     incarnation: int
     attempt: int
     confirmed: bool = False
     sent: bool = False
+    refused: bool = False
     seen_stamp: float = 0.0
     progress: float = 0.0
     checkpointed_at: timedelta | None = None
@@ -596,6 +601,7 @@
             report.attempt,
             report.state == Report.RUNNING,
             True,
+            False,
             stamp,
             report.progress,
             self._clock.monotonic(),
@@ -671,6 +677,10 @@
         job, name = split_task_id(task_id)
         task = self._state.find_task(job, name)
         if task is not None and task.intent is not None:
+            placement = self._placements.get(task_id)
+            if placement is not None and placement.attempt == attempt:
+                # The record may land late, so the attempt must not be sent again.
+                self._placements[task_id] = placement._replace(refused=True)
             await self._append(
                 TaskNotStarted(self._partition, self._epoch, job, name, attempt)
             )
@@ -747,7 +757,12 @@
             for name, placement in self._placements.items()
             if not placement.confirmed and self._is_current(name, placement.attempt)
         ]
-        await _run_bounded(self._start(name, p) for name, p in unconfirmed)
+        await _run_bounded(
+            self._record_not_started(name, p.attempt)
+            if p.refused
+            else self._start(name, p)
+            for name, p in unconfirmed
+        )
 
     async def _resolve_intents(self) -> None:
         """Find out about attempts that must not repeat and are not placed."""
