--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -204,7 +204,9 @@
         decisions: DecisionLog,
         metrics: Metrics,
         settings: Settings,
+        build_id: Callable[[], str] = lambda: uuid4().hex,
     ) -> None:
+        self._build_id = build_id
         self._partition = partition
         self._epoch = epoch
         self._state = state
@@ -300,7 +302,7 @@
             return found
         if not self._can_act():
             return Failure(self._describe_not_acting())
-        job = f"{self._partition}-{uuid4().hex}"
+        job = f"{self._partition}-{self._build_id()}"
         record = JobAccepted(
             self._partition,
             self._epoch,
--- a/tests/task_world.py
+++ b/tests/task_world.py
@@ -89,6 +89,8 @@
             worker = self._host.worker
 
             def deliver():
+                if worker is not self._host.worker:
+                    return TIMED_OUT
                 try:
                     return Success(getattr(worker, action)(order))
                 except RefusedOrderError as refusal:
@@ -155,7 +157,7 @@
 
     def __init__(self, random: Random, hosts: int, faults: float):
         self.random, self.faults, self.time = random, faults, 0.0
-        self.epoch = 0
+        self.epoch = self.jobs_built = 0
         self.late: list[Callable[[], object]] = []
         self.state = JobsState()
         self.endings: dict[str, Ending] = {}
@@ -286,9 +288,14 @@
             DecisionLog(clock),
             Metrics(),
             SETTINGS,
+            self.build_id,
         )
         self.owners = [*self.owners[-1:], owner]
 
+    def build_id(self):
+        self.jobs_built += 1
+        return f"{self.jobs_built:03}"
+
     @property
     def owner(self) -> JobOwner:
         return self.owners[-1]
--- /dev/null
+++ b/tests/test_task_parts.py
@@ -0,0 +1,332 @@
+"""Tests of the parts of batch work: records, capacity, worker interface, commands."""
+
+import asyncio
+import json
+import threading
+from random import Random
+
+import msgspec
+from cheroot import wsgi
+from click.testing import CliRunner
+from returns.result import Failure, Success
+
+from bench.standins.worker import (
+    HostHistory,
+    SimulatedWorker,
+    build_server,
+    find_violations,
+)
+from egretcrank.cli.main import main
+from egretcrank.errors.kinds import ErrorKind
+from egretcrank.host.capacity import CapacityLedger
+from egretcrank.host.worker import AttemptOrder, HttpWorkerClient, StartOrder
+from egretcrank.jobs.state import JobsState
+from egretcrank.stream.records import (
+    JobAccepted,
+    JobAcknowledged,
+    JobCancelled,
+    TaskEnded,
+    TaskEvicted,
+    TaskIntent,
+    TaskNotStarted,
+)
+from egretcrank.transport.threads import ThreadBridge
+from egretcrank.wire.messages import (
+    FencePartition,
+    JobReply,
+    RenewSession,
+    Resources,
+    Session,
+    StartTask,
+    SubmitJob,
+    TaskSpec,
+)
+from tests.addresses import find_address
+from tests.cases import AsyncTestCase
+from tests.task_world import World
+
+SMALL = Resources(1, 100, 0)
+
+
+def accept(repeat="from_checkpoint"):
+    state = JobsState()
+    spec = SubmitJob("k", "c", "bundle", repeat, False, (TaskSpec("t", "sleep 1"),))
+    assert isinstance(state.apply(JobAccepted(1, 1, "j", spec)), Success)
+    return state
+
+
+class JobsStateTests(AsyncTestCase):
+    def check(self, state, record, valid):
+        self.assertEqual(valid, isinstance(state.apply(record), Success), record)
+
+    def test_only_one_successor_attempt_is_valid(self):
+        """Guards against two resumes after one eviction."""
+        state = accept()
+        self.check(state, TaskEvicted(1, 1, "j", "t", 1, "c1"), True)
+        self.check(state, TaskEvicted(1, 1, "j", "t", 1, "c2"), False)
+        self.assertEqual((2, "c1"), state.find_task("j", "t")[1:3])
+
+    def test_task_ends_once(self):
+        """Guards against a late result that replaces the first one."""
+        state = accept()
+        self.check(state, TaskEnded(1, 1, "j", "t", 1, "sleeping"), False)
+        self.check(state, TaskEnded(1, 1, "j", "t", 1, "done", "r1"), True)
+        self.check(state, TaskEnded(1, 1, "j", "t", 1, "failed", "r2"), False)
+        self.check(state, JobCancelled(1, 1, "j"), False)
+        self.assertEqual("r1", state.find_task("j", "t").result)
+
+    def test_cancellation_is_final(self):
+        """Guards against work that goes on or ends well after a cancellation."""
+        state = accept("never")
+        self.check(state, JobCancelled(1, 1, "j"), True)
+        self.check(state, TaskIntent(1, 1, "j", "t", 1, "h", 1), False)
+        self.check(state, TaskEnded(1, 1, "j", "t", 1, "done"), False)
+
+    def test_review_needs_proof_for_another_attempt(self):
+        """Guards against a second run of a review that may have started."""
+        state = accept("never")
+        self.check(state, TaskNotStarted(1, 1, "j", "t", 1), False)
+        self.check(state, TaskIntent(1, 1, "j", "t", 1, "h", 1), True)
+        self.check(state, TaskIntent(1, 1, "j", "t", 1, "g", 1), False)
+        self.check(state, TaskEvicted(1, 1, "j", "t", 1, ""), False)
+        self.check(state, TaskNotStarted(1, 1, "j", "t", 1), True)
+        self.check(state, TaskIntent(1, 1, "j", "t", 2, "g", 1), True)
+
+    def test_acknowledged_key_is_not_accepted_again(self):
+        """Guards against a repeated submission that runs a finished job again."""
+        state = accept()
+        self.check(state, JobAcknowledged(1, 1, "j"), False)
+        self.check(state, TaskEnded(1, 1, "j", "t", 1, "done"), True)
+        self.check(state, JobAcknowledged(1, 1, "j"), True)
+        copy = JobsState()
+        self.assertEqual(Success(None), copy.load_state(state.build_state()))
+        spec = SubmitJob("k", "c", "bundle", tasks=(TaskSpec("t"),))
+        self.check(copy, JobAccepted(1, 1, "j2", spec), False)
+        self.assertIsInstance(copy.load_state({"jobs": 1}), Failure)
+        self.assertTrue(copy.is_acknowledged("j"))
+
+
+class CapacityTests(AsyncTestCase):
+    def test_upstream_share_is_never_given_to_tasks(self):
+        """Guards against tasks that take the processors of the upstream."""
+        ledger = CapacityLedger(Resources(11, 0, 0))
+        self.assertIsInstance(ledger.reserve("a", SMALL), Failure)
+        ledger.set_total(Resources(16, 1000, 0))
+        self.assertIsInstance(ledger.reserve("a", Resources(5, 100, 0)), Success)
+        refusal = ledger.reserve("b", SMALL).failure()
+        self.assertEqual(ErrorKind.NO_CAPACITY, refusal.kind)
+        ledger.release("a")
+        self.assertIsInstance(ledger.reserve("b", SMALL), Success)
+
+
+class WorkerTests(AsyncTestCase):
+    def test_adapter_and_stand_in_agree(self):
+        """Guards against an adapter that misreads answers or refusals."""
+        address = find_address()
+        server = build_server(address, SimulatedWorker(Resources(16, 61440, 2)))
+        server.prepare()
+        thread = threading.Thread(target=server.serve, daemon=True)
+        thread.start()
+
+        async def scenario():
+            bridge = ThreadBridge(asyncio.get_running_loop(), 2)
+            client = HttpWorkerClient(address, bridge)
+            view = (await client.list_tasks(2)).unwrap()
+            order = StartOrder(
+                view.instance, 2, "j/t", 1, 3, "j", "sleep 60", "", SMALL, view.clock
+            )
+            lapsed = await client.start(order)
+            valid = msgspec.structs.replace(order, valid_until=view.clock + 60)
+            started = await client.start(valid)
+            old = await client.stop(AttemptOrder(1, "j/t", 1))
+            stopped = await client.stop(AttemptOrder(2, "j/t", 1))
+            again = await client.start(valid)
+            await client.forget(AttemptOrder(2, "j/t", 1))
+            usage = await client.read_usage(0)
+            client.close()
+            bridge.close()
+            return lapsed, started, old, stopped, again, usage
+
+        try:
+            lapsed, started, old, stopped, again, usage = self.run_async(scenario())
+        finally:
+            server.stop()
+            thread.join()
+        self.assertEqual(ErrorKind.UPSTREAM_FAILED, lapsed.failure().kind)
+        self.assertEqual("running", started.unwrap().state)
+        self.assertEqual(ErrorKind.UPSTREAM_FAILED, old.failure().kind)
+        self.assertEqual("stopped", stopped.unwrap().state)
+        self.assertEqual("stopped", again.unwrap().state)
+        self.assertEqual((), usage.unwrap())
+
+    def test_history_check_finds_overlap_and_overload(self):
+        """Guards against a check that finds nothing."""
+        time = [0.0]
+        workers = [SimulatedWorker(SMALL, lambda: time[0]) for _ in range(2)]
+        for worker in workers:
+            instance = worker.list_tasks(1).instance
+            for task in ("j/a", f"j/{instance}"):
+                worker.start(
+                    StartOrder(instance, 1, task, 1, 0, "j", "sleep 1", "", SMALL, 9.0)
+                )
+        found = find_violations(
+            {str(i): HostHistory(w.history, SMALL) for i, w in enumerate(workers)}
+        )
+        for text in ("also ran", "started before", "exceeds"):
+            self.assertTrue(any(text in line for line in found), found)
+
+
+class SessionTests(AsyncTestCase):
+    def build(self, pause):
+        world = World(Random(1), 1, 0.0)
+        host = world.hosts["h0"]
+        inner = host.tasks._worker
+
+        class PausedWorker:
+            """Pauses the sidecar between its check and its order."""
+
+            def __getattr__(self, action):
+                async def call(order):
+                    if action == "start":
+                        world.time += pause
+                    return await getattr(inner, action)(order)
+
+                return call
+
+        host.tasks._worker = PausedWorker()
+        return world, host
+
+    def start(self, host, stamp, epoch=1, attempt=1):
+        session = Session(3, epoch, host.incarnation, stamp)
+        return host.tasks.handle(
+            StartTask(session, "j", "j/t", attempt, command="sleep 90", resources=SMALL)
+        )
+
+    def test_pause_after_check_starts_nothing(self):
+        """Guards against a start whose lease lapsed while the sidecar was paused."""
+
+        async def scenario():
+            _, host = self.build(pause=30)
+            await host.tasks.poll()
+            reply = await self.start(host, host.tasks._read_stamp())
+            return reply, host.worker.history
+
+        reply, history = self.run_async(scenario())
+        self.assertEqual(ErrorKind.NO_CAPACITY, reply.failure().kind)
+        self.assertEqual([], history)
+
+    def test_stamp_from_before_a_pause_is_lapsed(self):
+        """Guards against an owner or sidecar that acts on an ended session."""
+
+        async def scenario():
+            world, host = self.build(pause=0)
+            early = await self.start(host, host.tasks._read_stamp())
+            await host.tasks.poll()
+            stamp = host.tasks._read_stamp()
+            world.time += 7
+            late = await self.start(host, stamp)
+            world.time += 0.1
+            await self.start(host, host.tasks._read_stamp())
+            session = Session(3, 1, host.incarnation, host.tasks._read_stamp())
+            await host.tasks.handle(RenewSession((session,)))
+            for _ in range(30):
+                world.time += 1
+                await host.tasks.poll()
+            return early, late, host.worker.history, host.clock
+
+        early, late, history, clock = self.run_async(scenario())
+        self.assertEqual(ErrorKind.STARTING, early.failure().kind)
+        self.assertEqual(ErrorKind.SESSION_ENDED, late.failure().kind)
+        self.assertEqual(["running", "stopped"], [e.state for e in history])
+        # Started at 7 s; the session ends 6 s later and the last lease 6 s after that.
+        self.assertTrue(12 < clock.convert(history[1].at) < 19.2, history)
+
+    def test_lower_epoch_and_late_copy_are_refused(self):
+        """Guards against a former owner, and a copy of a refused start."""
+
+        async def scenario():
+            world, host = self.build(pause=0)
+            await host.tasks.poll()
+            stamp = host.tasks._read_stamp()
+            host.tasks.ledger.adopt("other", Resources(5, 0, 0))
+            full = await self.start(host, stamp)
+            host.tasks.ledger.release("other")
+            copy = await self.start(host, stamp)
+            world.time += 0.1
+            newer = await self.start(host, host.tasks._read_stamp())
+            fenced = host.tasks.fence(FencePartition(3, 2))
+            old = await self.start(host, host.tasks._read_stamp(), attempt=2)
+            return full, copy, newer, fenced, old
+
+        full, copy, newer, fenced, old = self.run_async(scenario())
+        self.assertEqual(ErrorKind.NO_CAPACITY, full.failure().kind)
+        self.assertEqual(ErrorKind.TOMBSTONED, copy.failure().kind)
+        self.assertEqual(["running"], [t.state for t in newer.unwrap().tasks])
+        self.assertEqual(1, len(fenced.unwrap().tasks))
+        self.assertEqual(ErrorKind.STALE_EPOCH, old.failure().kind)
+
+
+class OwnerTests(AsyncTestCase):
+    def test_job_that_can_never_run_is_reported(self):
+        """Guards against a job that waits for ever or delays others."""
+
+        async def scenario():
+            world = World(Random(1), 2, 0.0)
+            specs = (
+                TaskSpec("huge", "sleep 1", Resources(6, 100, 0)),
+                TaskSpec("small", "sleep 1", SMALL),
+            )
+            message = SubmitJob("k", "c", "bundle", tasks=specs)
+            reply = (await world.owner.handle(message)).unwrap()
+            assert isinstance(reply, JobReply)
+            job = reply.job
+            for _ in range(40):
+                await world.tick(0.5)
+            other = SubmitJob("k", "c", "indexing", tasks=specs)
+            return world.state.jobs[job], await world.owner.handle(other)
+
+        job, reused = self.run_async(scenario())
+        self.assertEqual("cannot_run", job.tasks["huge"].ending)
+        self.assertIn("largest", job.tasks["huge"].reason)
+        self.assertEqual("done", job.tasks["small"].ending)
+        self.assertEqual(ErrorKind.KEY_REUSED, reused.failure().kind)
+
+
+class CommandTests(AsyncTestCase):
+    def test_submit_and_refusal(self):
+        """Guards against a wrong request, and exit codes that hide a refusal."""
+        address = find_address()
+        seen = []
+
+        def answer(environ, start_response):
+            body = environ["wsgi.input"].read(int(environ.get("CONTENT_LENGTH") or 0))
+            key = environ.get("HTTP_IDEMPOTENCY_KEY")
+            seen.append((environ["REQUEST_METHOD"], environ["PATH_INFO"], key, body))
+            if environ["REQUEST_METHOD"] == "POST":
+                start_response("200 OK", [])
+                return [b'{"job": "3-a", "state": "accepted", "tasks": []}']
+            start_response("404 Not Found", [])
+            return [b'{"kind": "not_found", "ran": "no", "detail": "no such job"}']
+
+        host, _, port = address.rpartition(":")
+        server = wsgi.Server((host, int(port)), answer, numthreads=1)
+        server.prepare()
+        thread = threading.Thread(target=server.serve, daemon=True)
+        thread.start()
+        runner = CliRunner()
+        base = ["jobs", "--entry", address]
+        try:
+            submitted = runner.invoke(
+                main, [*base, "submit", "--customer", "c", "--key", "k", "sleep 3"]
+            )
+            missing = runner.invoke(main, [*base, "show", "3-b"])
+        finally:
+            server.stop()
+            thread.join()
+        unreached = runner.invoke(main, [*base, "cancel", "3-b"])
+        self.assertEqual(0, submitted.exit_code, submitted.output)
+        self.assertEqual(("POST", "/v1/jobs", "k"), seen[0][:3])
+        self.assertEqual("sleep 3", json.loads(seen[0][3])["tasks"][0]["command"])
+        self.assertEqual(1, missing.exit_code)
+        self.assertIn("no such job", missing.output)
+        self.assertEqual(3, unreached.exit_code)
