--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -67,6 +67,8 @@
         ]
         self.hosts = [self._build_host(n) for n in range(layout.hosts)]
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        # Address that a process uses instead of another process's own address.
+        self.links: dict[tuple[str, str], str] = {}
         self._http = urllib3.PoolManager(retries=False)
 
     def _build_host(self, number: int) -> Host:
@@ -118,12 +120,21 @@
             str(self.layout.slots),
             "--service-seconds",
             str(self.layout.service_seconds),
+            "--journal",
+            str(self.get_journal(host)),
         )
 
+    def get_journal(self, host: Host) -> Path:
+        """Return the file in which a host's upstream notes what it starts and ends."""
+        return self.directory / f"upstream-{host.name}.jsonl"
+
     def start_sidecar(self, host: Host) -> None:
         """Start the sidecar of a host."""
         text = self._build_common(host.name, host.failure_domain, host.rack)
         text += f"control_address = {host.control}\nrequest_address = {host.requests}\n"
+        for name, address in (("control", host.control), ("request", host.requests)):
+            announced = self.links.get(("", address), address)
+            text += f"announced_{name}_address = {announced}\n"
         text += f"[upstream]\naddress = {host.upstream}\n"
         text += f"services = {', '.join(self.layout.services)}\n"
         text += f"slots = {self.layout.slots}\n"
@@ -140,13 +151,15 @@
         self._start_daemon(name, "entry", text)
 
     def _build_common(self, name: str, domain: str, rack: str) -> str:
+        entries = [control for _, control, _, _ in self.entries]
         cluster = {
-            "entries": ", ".join(control for _, control, _, _ in self.entries),
+            "entries": ", ".join(self.links.get((name, e), e) for e in entries),
             "partitions": str(self.layout.partitions),
             "shards": str(self.layout.shards),
             **self.layout.cluster,
         }
-        lines = [f"[log]\naddress = {self.log_address}"]
+        log = self.links.get((name, self.log_address), self.log_address)
+        lines = [f"[log]\naddress = {log}"]
         lines.append(f"retention_seconds = {self.layout.retention_seconds}")
         lines.append("[cluster]")
         lines.extend(f"{key} = {value}" for key, value in cluster.items())
--- /dev/null
+++ b/bench/prove/__main__.py
@@ -0,0 +1,93 @@
+"""Prove guarantees on a cluster of real processes under faults from a seed."""
+
+import argparse
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+from bench.cluster import Layout
+from bench.prove.callers import Callers
+from bench.prove.faults import Injector, ProvedCluster
+from bench.prove.history import History, read_journal
+from bench.prove.points import Findings, check_all
+
+RUN_DIRECTORY = Path(".run")
+CALLER_THREADS = 10
+# Start, the answers of the last calls and the end of all processes.
+RESERVED_SECONDS = 45.0
+LEAST_FAULT_SECONDS = 10.0
+# Limits below the defaults, so that more takeovers fit into a run.
+CLUSTER = {
+    "announce_seconds": "0.5",
+    "suspect_seconds": "1",
+    "dead_seconds": "3",
+    "session_seconds": "3",
+    "takeover_delay_seconds": "0.5",
+}
+
+
+def main() -> int:
+    """Run the callers under faults, check the history and print the points."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=240.0)
+    options = parser.parse_args()
+    started = time.monotonic()
+    print(f"seed={options.seed}", flush=True)
+    RUN_DIRECTORY.mkdir(exist_ok=True)
+    prefix = f"prove-{options.seed}-"
+    directory = Path(tempfile.mkdtemp(prefix=prefix, dir=RUN_DIRECTORY)).resolve()
+    cluster = ProvedCluster(Layout(cluster=CLUSTER), directory)
+    injector = Injector(cluster, options.seed)
+    entries = {name: http for name, _, _, http in cluster.entries}
+    callers = Callers(entries, options.seed, CALLER_THREADS)
+    try:
+        cluster.route_through_forwarder()
+        cluster.start()
+        callers.start()
+        used = time.monotonic() - started
+        seconds = options.seconds - RESERVED_SECONDS - used
+        injector.run(max(LEAST_FAULT_SECONDS, seconds))
+    finally:
+        calls = callers.stop()
+        cluster.stop()
+    history = History(calls, [], injector.departures)
+    for host in cluster.hosts:
+        journal = cluster.get_journal(host).read_text(encoding="utf-8")
+        history.runs.extend(read_journal(host.name, journal.splitlines()))
+    history.write(directory / "history.json")
+    timeline = "\n".join(f"{at:.3f} {text}" for at, text in injector.timeline)
+    (directory / "faults.txt").write_text(timeline + "\n", encoding="utf-8")
+    return report(check_all(history), injector.counts, history, directory)
+
+
+def report(
+    points: dict[str, Findings],
+    faults: Counter[str],
+    history: History,
+    directory: Path,
+) -> int:
+    """Print one line for each point and tell whether a violation was found."""
+    print("faults " + " ".join(f"{k}={v}" for k, v in sorted(faults.items())))
+    answers = Counter(call.kind or call.ran or "no_answer" for call in history.calls)
+    print("answers " + " ".join(f"{k}={v}" for k, v in sorted(answers.items())))
+    total = sum(faults.values())
+    for name, findings in points.items():
+        print(
+            f"point={name} operations={findings.operations} faults={total} "
+            f"violations={len(findings.violations)}"
+        )
+    violations = [
+        f"{name}: {text}" for name, f in points.items() for text in f.violations
+    ]
+    for text in violations[:50]:
+        print(f"violation {text}")
+    if violations:
+        print(f"history and logs are in {directory}")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -5,11 +5,13 @@
 """
 
 import argparse
+import errno
 import json
 import random
 import threading
 import time
 from collections.abc import Callable, Iterable
+from pathlib import Path
 from typing import Any, TypedDict
 
 from cheroot.wsgi import Server
@@ -30,7 +32,13 @@
 class Upstream:
     """Runs requests; more than ``slots`` at a time are counted as a violation."""
 
-    def __init__(self, slots: int, service_seconds: float, seed: int) -> None:
+    def __init__(
+        self,
+        slots: int,
+        service_seconds: float,
+        seed: int,
+        journal: Path | None = None,
+    ) -> None:
         self._slots = slots
         self._service_seconds = service_seconds
         self._random = random.Random(seed)
@@ -39,6 +47,9 @@
         self._history: list[Run] = []
         self._overruns = 0
         self._delay = 0.0
+        self._drop_share = 0.0
+        # Unlike the history in memory, the journal survives a kill of this process.
+        self._journal = journal.open("a", encoding="utf-8") if journal else None
 
     def __call__(
         self, environ: dict[str, Any], start: Callable[..., Any]
@@ -50,11 +61,16 @@
         if path == "/history":
             return _send(start, self._describe(), {})
         if path == "/faults":
-            self._delay = float(json.loads(body).get("delay_seconds", 0.0))
+            faults = json.loads(body)
+            self._delay = float(faults.get("delay_seconds", 0.0))
+            self._drop_share = float(faults.get("drop_share", 0.0))
             return _send(start, {"delay_seconds": self._delay}, {})
         request_id = environ.get("HTTP_X_REQUEST_ID", "")
         customer = environ.get("HTTP_X_CUSTOMER", "")
         self._run(path, customer, body.decode(errors="replace"))
+        if self._random.random() < self._drop_share:
+            # cheroot closes the connection silently when it meets this error.
+            raise ConnectionResetError(errno.ECONNRESET, "answer is lost on purpose")
         answer = {"path": path, "customer": customer, "echo": body.decode()}
         return _send(start, answer, {"X-Request-Id": request_id})
 
@@ -64,7 +80,9 @@
             self._overruns += self._running > self._slots
             spread = self._random.uniform(0.5, 1.5)
         started = time.monotonic()
+        self._note("started", path, body)
         time.sleep(self._service_seconds * spread + self._delay)
+        self._note("ended", path, body)
         with self._lock:
             self._running -= 1
             self._history.append(
@@ -77,6 +95,15 @@
                 )
             )
 
+    def _note(self, event: str, path: str, body: str) -> None:
+        if self._journal is None:
+            return
+        at = time.monotonic()
+        line = json.dumps({"event": event, "path": path, "body": body, "at": at})
+        with self._lock:
+            self._journal.write(line + "\n")
+            self._journal.flush()
+
     def _describe(self) -> dict[str, Any]:
         with self._lock:
             return {"runs": list(self._history), "overruns": self._overruns}
@@ -104,9 +131,12 @@
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--service-seconds", type=float, default=0.02)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--journal", type=Path)
     options = parser.parse_args()
     host, _, port = options.address.rpartition(":")
-    upstream = Upstream(options.slots, options.service_seconds, options.seed)
+    upstream = Upstream(
+        options.slots, options.service_seconds, options.seed, options.journal
+    )
     threads = options.slots + THREADS_BEYOND_SLOTS
     server = Server((host, int(port)), upstream, numthreads=threads, max=threads)
     try:
--- a/src/egretcrank/ownership/takeover.py
+++ b/src/egretcrank/ownership/takeover.py
@@ -135,7 +135,8 @@
             epoch,
             self._host,
             self._incarnation,
-            self._settings.process.request_address,
+            self._settings.process.announced_request_address
+            or self._settings.process.request_address,
         )
         self._decisions.record(
             Decision(
--- a/src/egretcrank/settings/schema.py
+++ b/src/egretcrank/settings/schema.py
@@ -75,6 +75,12 @@
     request_address: str = setting(
         Kind.ADDRESS, "Address for forwarded requests.", "", required=True
     )
+    announced_control_address: str = setting(
+        Kind.ADDRESS, "Control address that others use, if it differs.", ""
+    )
+    announced_request_address: str = setting(
+        Kind.ADDRESS, "Request address that others use, if it differs.", ""
+    )
     log_level: str = setting(Kind.TEXT, "Lowest level that is logged.", "INFO")
     shutdown_seconds: timedelta = setting(
         Kind.SECONDS,
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -189,8 +189,10 @@
         return Member(
             host=settings.process.name,
             incarnation=self._incarnation,
-            control_address=settings.process.control_address,
-            request_address=settings.process.request_address,
+            control_address=settings.process.announced_control_address
+            or settings.process.control_address,
+            request_address=settings.process.announced_request_address
+            or settings.process.request_address,
             failure_domain=settings.process.failure_domain,
             rack=settings.process.rack,
             services=settings.upstream.services,
