--- a/tests/test_key_fuzz.py
+++ b/tests/test_key_fuzz.py
@@ -5,7 +5,7 @@
 import os
 
 import testtools
-from hypothesis import HealthCheck, seed, settings
+from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -99,24 +99,38 @@
 
     @rule(
         service=st.sampled_from(("review", "photo")),
-        repeat=st.integers(0, 5),
         index=st.integers(0, 1),
         seconds=st.sampled_from((0.5, 4.0)),
+        loss=st.sampled_from((0.0, 0.3, 0.8)),
     )
-    def submit(self, service, repeat, index, seconds):
-        if repeat < len(self.keys):
-            key, service = self.keys[-1 - repeat]
-        else:
-            key = self.world.build_key()
-            self.keys.append((key, service))
+    def submit(self, service, index, seconds, loss):
+        self.loss = loss
+        key = self.world.build_key()
+        self.keys.append((key, service))
+        self.ask(key, service, index, seconds)
+
+    @precondition(lambda self: self.keys)
+    @rule(
+        back=st.integers(0, 2),
+        index=st.integers(0, 1),
+        pause=st.sampled_from((0.01, 3.0, 6.0)),
+        loss=st.sampled_from((0.0, 0.0, 0.3)),
+    )
+    def repeat(self, back, index, pause, loss):
+        self.loss = loss
+        key, service = self.keys[max(0, len(self.keys) - 1 - back)]
+        self.ask(key, service, index, 4.0)
+        self.wait(pause)
+
+    def ask(self, key, service, index, seconds):
         owner = self.owners[index % len(self.owners)].owner
 
-        async def ask():
+        async def submit():
             outcome = await owner.submit(self.world.build_submit(key, service, seconds))
             self.answers.setdefault(key, []).append(outcome)
 
         self.answers.setdefault(key, []).append(None)
-        self.world.tasks.add(self.loop.create_task(ask()))
+        self.world.tasks.add(self.loop.create_task(submit()))
         self.wait(0.01)
 
     @rule(seconds=PAUSES)
@@ -173,6 +187,8 @@
             stateful_step_count=40,
             deadline=None,
             database=None,
+            # Shrinking a failure would take minutes.
+            phases=(Phase.generate,),
             suppress_health_check=list(HealthCheck),
         )
         run_state_machine_as_test(KeyMachine, settings=limits)
