--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -6,6 +6,7 @@
 
 import argparse
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,9 @@
 START_LIMIT_SECONDS = 60.0
 STOP_LIMIT_SECONDS = 45.0
 POLL_SECONDS = 0.1
+# Below the ports that Linux gives to outgoing connections, which otherwise take the
+# port of a process before it starts or while it is down.
+PORTS = (10000, 32000)
 
 
 class Layout(NamedTuple):
@@ -250,10 +254,14 @@
 
 def find_address() -> str:
     """Return a loopback address with a port that was free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        host, port = probe.getsockname()
-    return f"{host}:{port}"
+    while True:
+        port = random.SystemRandom().randint(*PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
 
 
 def main() -> None:
