--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -167,6 +167,7 @@
             clock,
             self._decisions,
             self._partitions.open,
+            self._partitions.is_open,
         )
         self._stop = asyncio.Event()
 
@@ -294,7 +295,14 @@
 
     async def _leave(self, requests: Server) -> None:
         """Tell the entries, refuse new work, and wait for work in flight."""
-        limit = self._clock.monotonic() + self._settings.process.shutdown_seconds
+        started = self._clock.monotonic()
+        limit = started + self._settings.process.shutdown_seconds
+        # Whoever has not heard of the leave yet must get refusals, because a message
+        # that is lost at the end of this process may have run for all its sender knows.
+        # Entries that hear nothing stop to send after ``suspect_seconds``, and owners
+        # learn that with their next announcement.
+        cluster = self._settings.cluster
+        heard_by_all = started + cluster.suspect_seconds + 2 * cluster.announce_seconds
         self._state = "leaving"
         self._claimant.leave()
         self._executor.leave()
@@ -304,7 +312,10 @@
         owned = await self._partitions.leave(self._settings.process.shutdown_seconds)
         await self._claimant.release(owned)
         while self._clock.monotonic() < limit and (
-            requests.busy or self._executor.running or self._executor.waiting
+            self._clock.monotonic() < heard_by_all
+            or requests.busy
+            or self._executor.running
+            or self._executor.waiting
         ):
             await self._clock.sleep(LEAVE_POLL)
 
@@ -318,7 +329,15 @@
         if self._tasks is not None:
             self._tasks.raise_epoch(partition, epoch)
 
-    def _may_hold(self) -> bool:
+    def _may_hold(self, partition: int, epoch: int) -> bool:
+        """Tell whether no owner of a later epoch can have completed its takeover.
+
+        That no entry has folded more claims than this process proves something only if
+        this process has not folded a later claim itself.
+        """
+        owner = self._owners.find_owner(partition)
+        if owner is None or owner.epoch != epoch:
+            return False
         return self._announcer.reaches_majority(
             self._settings.cluster.session_seconds,
             self._owners_reader.position.next_offset,
@@ -329,8 +348,10 @@
         return Member(
             host=settings.process.name,
             incarnation=self._incarnation,
-            control_address=settings.process.control_address,
-            request_address=settings.process.request_address,
+            control_address=settings.process.announced_control_address
+            or settings.process.control_address,
+            request_address=settings.process.announced_request_address
+            or settings.process.request_address,
             failure_domain=settings.process.failure_domain,
             rack=settings.process.rack,
             services=settings.upstream.services,
--- a/tests/test_task_parts.py
+++ b/tests/test_task_parts.py
@@ -10,6 +10,7 @@
 from click.testing import CliRunner
 from returns.result import Failure, Success
 
+from bench.addresses import find_address
 from bench.standins.worker import (
     HostHistory,
     SimulatedWorker,
@@ -41,7 +42,6 @@
     SubmitJob,
     TaskSpec,
 )
-from tests.addresses import find_address
 from tests.cases import AsyncTestCase
 from tests.task_world import World
 
