--- /dev/null
+++ b/src/egretcrank/policy/interference.py
@@ -0,0 +1,255 @@
+"""Estimates of how much each kind of task slows each service.
+
+A late report is attributed to what ran in the period that it covers. For each service
+and load band the latency is modelled as a baseline plus a sum over the kinds that ran,
+and followed by a Kalman filter whose coefficients are random walks. The joint
+covariance keeps a harmless kind from being blamed for what a ruinous neighbour did.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Mapping, Sequence
+from datetime import timedelta
+from typing import NamedTuple
+
+from egretcrank.wire.messages import Resources
+
+# Upper ends of the load bands, as a share of the service's slots.
+BAND_EDGES = (0.3, 0.45, 0.6, 0.75)
+
+HISTORY = timedelta(minutes=10)
+
+# Prior of the slowdown by one task of an unknown kind, relative to the baseline.
+PRIOR_MEAN = 0.1
+PRIOR_DEVIATION = 0.6
+BASELINE_DEVIATION = 0.5
+MEASUREMENT_DEVIATION = 0.12
+
+# A known coefficient drifts by this deviation in one hour.
+DRIFT_PER_HOUR = 0.03
+
+# Added deviation when the estimate of a neighbouring band serves as the prior.
+NEIGHBOUR_DEVIATION = 0.1
+
+BASELINE = ""
+
+
+class TaskUsage(NamedTuple):
+    """Largest amounts that a task used in the period of a report."""
+
+    task: str
+    used: Resources
+
+
+class UsageReport(NamedTuple):
+    """Measurement of one host over a past period.
+
+    ``load`` is the share of busy slots; ``latency`` is in any unit that is the same
+    for all hosts of the service. Times are on the clock of the scheduler's process.
+    """
+
+    host: str
+    service: str
+    start: timedelta
+    end: timedelta
+    load: float
+    latency: float
+    tasks: tuple[TaskUsage, ...] = ()
+
+
+class Estimate(NamedTuple):
+    """Slowdown by one task as a share of the baseline, with its uncertainty."""
+
+    mean: float
+    deviation: float
+
+
+class Span(NamedTuple):
+    """A time during which a task ran on a host at one processor share."""
+
+    task: str
+    kind: str
+    share: float
+    start: timedelta
+    end: timedelta | None
+
+
+def find_band(load: float) -> int:
+    """Return the index of the load band that holds ``load``."""
+    return sum(load >= edge for edge in BAND_EDGES)
+
+
+class Occupancy:
+    """Remembers what ran on each host, long enough for late reports."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, tuple[str, Span]] = {}
+        self._closed: defaultdict[str, deque[Span]] = defaultdict(deque)
+
+    def record(
+        self, host: str, task: str, kind: str, share: float, time: timedelta
+    ) -> None:
+        """Record that ``task`` runs on ``host`` with ``share`` from ``time`` on."""
+        self.close(task, time)
+        self._open[task] = (host, Span(task, kind, share, time, None))
+
+    def close(self, task: str, time: timedelta) -> None:
+        """Record that ``task`` no longer runs as it did."""
+        if task not in self._open:
+            return
+        host, span = self._open.pop(task)
+        closed = self._closed[host]
+        closed.append(span._replace(end=time))
+        while closed and (closed[0].end or time) < time - HISTORY:
+            closed.popleft()
+
+    def find_kind(self, task: str) -> str | None:
+        """Return the kind of a running task."""
+        return self._open[task][1].kind if task in self._open else None
+
+    def find_largest_share(self, task: str, start: timedelta) -> float:
+        """Return the largest share that a running task had since ``start``."""
+        if task not in self._open:
+            return 1.0
+        host, span = self._open[task]
+        earlier = (
+            closed.share
+            for closed in self._closed[host]
+            if closed.task == task and (closed.end or start) > start
+        )
+        return max((span.share, *earlier))
+
+    def measure_doses(
+        self, host: str, start: timedelta, end: timedelta
+    ) -> dict[str, float]:
+        """Return, for each kind, the mean of tasks times share in the period."""
+        doses: defaultdict[str, float] = defaultdict(float)
+        spans = [span for at, span in self._open.values() if at == host]
+        length = max((end - start).total_seconds(), 1e-9)
+        for span in [*spans, *self._closed[host]]:
+            until = end if span.end is None else min(end, span.end)
+            overlap = (until - max(start, span.start)).total_seconds()
+            if overlap > 0:
+                doses[span.kind] += span.share * overlap / length
+        return dict(doses)
+
+
+class _Model:
+    """Kalman filter over the baseline and the kinds seen in one service and band."""
+
+    def __init__(self) -> None:
+        self.index = {BASELINE: 0}
+        self.means = [1.0]
+        self.covariance = [[BASELINE_DEVIATION**2]]
+        self.updated = timedelta()
+
+    def add(self, kind: str, prior: Estimate) -> None:
+        """Add a coefficient with its prior."""
+        size = len(self.means)
+        self.index[kind] = size
+        self.means.append(prior.mean)
+        for row in self.covariance:
+            row.append(0.0)
+        self.covariance.append([0.0] * size + [prior.deviation**2])
+
+    def forget(self, time: timedelta) -> None:
+        """Widen the uncertainty by the drift since the last measurement."""
+        hours = max(0.0, (time - self.updated).total_seconds() / 3600)
+        self.updated = max(time, self.updated)
+        for i, row in enumerate(self.covariance):
+            if row[i] < PRIOR_DEVIATION**2:
+                row[i] += DRIFT_PER_HOUR**2 * hours
+
+    def update(self, doses: Mapping[str, float], latency: float) -> None:
+        """Fold one measured latency, given in units of the service's scale."""
+        active = [(0, 1.0), *((self.index[kind], dose) for kind, dose in doses.items())]
+        cross = [sum(row[i] * dose for i, dose in active) for row in self.covariance]
+        expected = sum(self.means[i] * dose for i, dose in active)
+        # A measured tail latency varies in proportion to the latency itself.
+        noise = (MEASUREMENT_DEVIATION * max(expected, latency, 0.1)) ** 2
+        total = sum(cross[i] * dose for i, dose in active) + noise
+        error = latency - expected
+        gains = [value / total for value in cross]
+        for i, gain in enumerate(gains):
+            self.means[i] += gain * error
+            row = self.covariance[i]
+            for j, value in enumerate(cross):
+                row[j] -= gain * value
+
+
+class PairEstimates:
+    """Estimates for each task kind, service and load band."""
+
+    def __init__(self) -> None:
+        self._models: dict[tuple[str, int], _Model] = {}
+        self._scales: dict[str, float] = {}
+        self._cache: dict[tuple[str, int, str], Estimate] = {}
+
+    def observe(
+        self,
+        report: UsageReport,
+        doses: Mapping[str, float],
+    ) -> None:
+        """Fold a report, given the doses that ran in its period."""
+        if report.latency <= 0:
+            return
+        scale = self._scales.setdefault(report.service, report.latency)
+        band = find_band(report.load)
+        model = self._models.setdefault((report.service, band), _Model())
+        for kind in doses:
+            if kind not in model.index:
+                model.add(kind, self._build_prior(report.service, band, kind))
+        model.forget(report.end)
+        model.update(doses, report.latency / scale)
+        self._cache.clear()
+
+    def estimate(self, service: str, band: int, kind: str) -> Estimate:
+        """Return the slowdown of ``service`` by one task of ``kind``."""
+        key = (service, band, kind)
+        if key not in self._cache:
+            found = self._find(service, band, kind)
+            self._cache[key] = found or self._build_prior(service, band, kind)
+        return self._cache[key]
+
+    def sum_slowdown(
+        self, service: str, band: int, doses: Sequence[tuple[str, float]]
+    ) -> float:
+        """Return the expected slowdown by several kinds at their doses."""
+        return sum(
+            dose * max(0.0, self.estimate(service, band, kind).mean)
+            for kind, dose in doses
+        )
+
+    def measure_slowdown(self, report: UsageReport) -> float:
+        """Return how far a measured latency is above the estimated baseline."""
+        model = self._models.get((report.service, find_band(report.load)))
+        scale = self._scales.get(report.service)
+        if model is None or scale is None:
+            return 0.0
+        return report.latency / scale / max(model.means[0], 0.1) - 1.0
+
+    def _find(self, service: str, band: int, kind: str) -> Estimate | None:
+        model = self._models.get((service, band))
+        if model is None or kind not in model.index:
+            return None
+        i = model.index[kind]
+        baseline = max(model.means[0], 0.1)
+        deviation = max(model.covariance[i][i], 0.0) ** 0.5
+        return Estimate(model.means[i] / baseline, deviation / baseline)
+
+    def _build_prior(self, service: str, band: int, kind: str) -> Estimate:
+        """Take the nearest known band as the prior; interference grows with load."""
+        above = (
+            self._find(service, near, kind)
+            for near in range(band + 1, len(BAND_EDGES) + 1)
+        )
+        upper = next((found for found in above if found), None)
+        below = (self._find(service, near, kind) for near in range(band - 1, -1, -1))
+        lower = next((found for found in below if found), None)
+        known = [found for found in (upper, lower) if found]
+        if not known:
+            return Estimate(PRIOR_MEAN, PRIOR_DEVIATION)
+        best = min(known, key=lambda found: found.deviation)
+        # A kind that does harm in one band is not assumed to be safe in the other; a
+        # kind that is safe at a higher load is safe at a lower one.
+        spread = NEIGHBOUR_DEVIATION + 0.5 * abs(best.mean)
+        return Estimate(best.mean, min(PRIOR_DEVIATION, best.deviation + spread))
--- /dev/null
+++ b/src/egretcrank/policy/placement.py
@@ -0,0 +1,234 @@
+"""Choice of a host for a waiting task."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from egretcrank.policy.interference import Estimate
+from egretcrank.wire.messages import Resources
+
+# A task is not started below this share of its processors: it would hold memory for
+# little progress.
+SMALLEST_START_SHARE = 0.25
+
+# Share at which a kind of unknown interference is first started.
+PROBE_SHARE = 0.3
+
+# An estimate with a larger deviation than this is unknown and needs a probe.
+UNKNOWN_DEVIATION = 0.3
+
+# Costs per share of the customer's other tasks in the same rack or failure domain.
+RACK_COST = 0.02
+DOMAIN_COST = 0.02
+
+# Cost of using the last free capacity of a host, which larger tasks may need.
+FULL_COST = 0.01
+
+
+class Weights(NamedTuple):
+    """Weights of the measures in a customer's plan."""
+
+    tail_latency: float = 1.0
+    evictions: float = 1.0
+    throughput: float = 1.0
+
+    @property
+    def tail_share(self) -> float:
+        """Return the weight of tail latency as a share of all weights."""
+        total = self.tail_latency + self.evictions + self.throughput
+        return self.tail_latency / total if total > 0 else 1 / 3
+
+    @property
+    def eviction_share(self) -> float:
+        """Return the weight of evictions as a share of all weights."""
+        total = self.tail_latency + self.evictions + self.throughput
+        return self.evictions / total if total > 0 else 1 / 3
+
+
+class WaitingTask(NamedTuple):
+    """A task that waits for a host."""
+
+    task: str
+    job: str
+    customer: str
+    kind: str
+    declared: Resources
+    urgent: bool = False
+
+
+class RunningTask(NamedTuple):
+    """A task that runs on a host with a share of its processors."""
+
+    task: str
+    job: str
+    kind: str
+    reserved: Resources
+    share: float = 1.0
+    urgent: bool = False
+
+
+class HostView(NamedTuple):
+    """A host as its sidecar announced it; amounts are those left for tasks.
+
+    ``service`` is empty if the host has no upstream. ``load`` is the share of the
+    upstream's slots that are busy. ``capacity`` is what is free when no task runs.
+    """
+
+    host: str
+    service: str
+    failure_domain: str
+    rack: str
+    load: float
+    capacity: Resources
+    free: Resources
+    tasks: tuple[RunningTask, ...] = ()
+
+
+class Alternative(NamedTuple):
+    """A host that was weighed, with its cost or the reason against it."""
+
+    host: str
+    cost: float | None
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Start the task on ``host`` with ``share`` of its processors."""
+
+    task: str
+    host: str
+    reserved: Resources
+    share: float
+    reason: str
+    alternatives: tuple[Alternative, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Start the task later, or never if ``final``."""
+
+    task: str
+    reason: str
+    final: bool = False
+    alternatives: tuple[Alternative, ...] = ()
+
+
+class Outlook(NamedTuple):
+    """What is expected of one host if the task starts there.
+
+    ``expected`` is the slowdown by the tasks that run there already; ``probing`` tells
+    that the effect of one of them is still unknown. ``probe_allowed`` is false if the
+    same pair is being probed elsewhere.
+    """
+
+    estimate: Estimate
+    expected: float
+    probing: bool
+    probe_allowed: bool
+
+
+Predict = Callable[[HostView], Outlook]
+
+
+def fits(wanted: Resources, free: Resources) -> bool:
+    """Tell whether ``wanted`` fits into ``free``."""
+    return (
+        wanted.processors <= free.processors
+        and wanted.memory_mib <= free.memory_mib
+        and wanted.accelerators <= free.accelerators
+    )
+
+
+def choose_host(
+    task: WaitingTask,
+    reserved: Resources,
+    hosts: Sequence[HostView],
+    predict: Predict,
+    weights: Weights,
+    budget: float,
+    rng: random.Random,
+) -> Placement | Wait:
+    """Choose the host of least cost whose service stays within ``budget``.
+
+    ``budget`` is the slowdown of a service that the plan tolerates. Where the task
+    would exceed it at full speed, it may start with a share of its processors.
+    """
+    if hosts and not any(fits(reserved, host.capacity) for host in hosts):
+        return Wait(task.task, "no host is large enough")
+    options: list[tuple[float, float, HostView]] = []
+    weighed: list[Alternative] = []
+    spread = _count_spread(task, hosts)
+    for host in hosts:
+        if not fits(reserved, host.free):
+            weighed.append(Alternative(host.host, None, "does not fit"))
+            continue
+        outlook = predict(host)
+        share = _choose_share(outlook, weights, budget)
+        if share is None:
+            weighed.append(Alternative(host.host, None, "slows the service"))
+            continue
+        cost = _weigh(host, reserved, outlook, share, weights, spread)
+        options.append((cost, share, host))
+        weighed.append(Alternative(host.host, round(cost, 4), f"share {share:.2f}"))
+    if not options:
+        return Wait(task.task, "no host fits within the budget", False, tuple(weighed))
+    rng.shuffle(options)
+    cost, share, host = min(options, key=lambda option: option[0])
+    others = tuple(other for other in weighed if other.host != host.host)
+    return Placement(
+        task.task, host.host, reserved, share, f"least cost {cost:.4f}", others
+    )
+
+
+def find_upper(estimate: Estimate, weights: Weights) -> float:
+    """Return the slowdown to reckon with: the mean plus weighted uncertainty."""
+    caution = 2.0 * weights.tail_share
+    return max(0.0, estimate.mean) + caution * estimate.deviation
+
+
+def _choose_share(outlook: Outlook, weights: Weights, budget: float) -> float | None:
+    """Return the share at which the task may start, or ``None``."""
+    left = budget - outlook.expected
+    if left <= 0 or outlook.probing:
+        return None
+    upper = find_upper(outlook.estimate, weights)
+    share = 1.0 if upper <= left else left / upper
+    unknown = outlook.estimate.deviation > UNKNOWN_DEVIATION
+    if unknown:
+        return PROBE_SHARE if outlook.probe_allowed else None
+    return share if share >= SMALLEST_START_SHARE else None
+
+
+def _count_spread(
+    task: WaitingTask, hosts: Sequence[HostView]
+) -> tuple[Counter[str], int]:
+    """Count the tasks of the same job by rack and by failure domain."""
+    counts: Counter[str] = Counter()
+    for host in hosts:
+        same = sum(running.job == task.job for running in host.tasks)
+        counts[f"rack {host.rack}"] += same
+        counts[f"domain {host.failure_domain}"] += same
+        counts[""] += same
+    return counts, counts[""]
+
+
+def _weigh(
+    host: HostView,
+    reserved: Resources,
+    outlook: Outlook,
+    share: float,
+    weights: Weights,
+    spread: tuple[Counter[str], int],
+) -> float:
+    counts, total = spread
+    harm = share * find_upper(outlook.estimate, weights)
+    delay = 0.1 * (1.0 - share)
+    crowding = FULL_COST * reserved.processors / max(host.free.processors, 1e-9)
+    together = 0.0
+    if total:
+        together = RACK_COST * counts[f"rack {host.rack}"] / total
+        together += DOMAIN_COST * counts[f"domain {host.failure_domain}"] / total
+    return harm + delay + crowding + together
--- /dev/null
+++ b/src/egretcrank/policy/scheduler.py
@@ -0,0 +1,279 @@
+"""The decisions on batch work, behind one class."""
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import replace
+from datetime import timedelta
+from enum import StrEnum
+from typing import NamedTuple
+
+from egretcrank.clock import Clock
+from egretcrank.policy.health import OnTrial, SetAside, Usable, WorkerHealth
+from egretcrank.policy.interference import (
+    Occupancy,
+    PairEstimates,
+    UsageReport,
+    find_band,
+)
+from egretcrank.policy.placement import (
+    UNKNOWN_DEVIATION,
+    HostView,
+    Outlook,
+    Placement,
+    RunningTask,
+    Wait,
+    WaitingTask,
+    Weights,
+    choose_host,
+    find_upper,
+    fits,
+)
+from egretcrank.policy.quotas import (
+    Preemption,
+    Quota,
+    choose_preemption,
+    order_waiting,
+)
+from egretcrank.policy.reaction import Action, Pressure, Reaction
+from egretcrank.policy.sizes import SizeEstimates
+from egretcrank.wire.messages import Resources
+
+# Slowdown of a service that is tolerated by plans that give tail latency all of the
+# weight, and none of it.
+STRICT_BUDGET = 0.03
+LOOSE_BUDGET = 0.13
+
+# Measured slowdowns older than this say nothing about now.
+MEASUREMENT_AGE = timedelta(minutes=2)
+
+
+class Outcome(StrEnum):
+    """How an attempt of a task ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+
+
+class _Running(NamedTuple):
+    task: WaitingTask
+    host: str
+    checkpointed: timedelta
+
+
+class _Measured(NamedTuple):
+    slowdown: float
+    time: timedelta
+
+
+class Scheduler:
+    """Places tasks, learns from reports and reacts; performs no input or output.
+
+    The caller reports each start, change of share, checkpoint and end; the clock is
+    read only through ``monotonic``.
+    """
+
+    def __init__(self, clock: Clock, rng: random.Random, weights: Weights) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._weights = weights
+        self._pairs = PairEstimates()
+        self._occupancy = Occupancy()
+        self._sizes = SizeEstimates()
+        self._health = WorkerHealth()
+        self._reaction = Reaction()
+        self._running: dict[str, _Running] = {}
+        self._measured: dict[str, _Measured] = {}
+
+    @property
+    def budget(self) -> float:
+        """Return the slowdown of a service that the weights tolerate."""
+        spare = 1.0 - self._weights.tail_share
+        return STRICT_BUDGET + (LOOSE_BUDGET - STRICT_BUDGET) * spare
+
+    def order(
+        self, waiting: Sequence[WaitingTask], quotas: Mapping[str, Quota]
+    ) -> list[WaitingTask]:
+        """Order waiting tasks by urgency and by the quotas of their customers."""
+        return order_waiting(waiting, quotas)
+
+    def place(
+        self, task: WaitingTask, members_view: Sequence[HostView]
+    ) -> Placement | Wait:
+        """Choose a host for ``task``, or say why it waits."""
+        if self._health.cannot_run(task.job):
+            return Wait(task.task, "the job failed on every worker tried", True)
+        usable = [host for host in members_view if self._is_usable(host)]
+        if not usable:
+            return Wait(task.task, "no usable worker")
+        reserved = self._sizes.bound(
+            task.kind, task.declared, _find_largest(members_view)
+        )
+        if not any(fits(reserved, host.capacity) for host in members_view):
+            return Wait(task.task, "larger than any host")
+        failed = self._health.list_failed(task.job)
+        fresh = [host for host in usable if host.host not in failed]
+        probed = self._list_probed(members_view)
+        return choose_host(
+            task,
+            reserved,
+            fresh or usable,
+            lambda host: self._predict(task.kind, host, probed),
+            self._weights,
+            self.budget,
+            self._rng,
+        )
+
+    def preempt(
+        self, task: WaitingTask, members_view: Sequence[HostView]
+    ) -> Preemption | None:
+        """Choose tasks to evict so that an urgent task can start."""
+        if not task.urgent:
+            return None
+        usable = [host for host in members_view if self._is_usable(host)]
+        reserved = self._sizes.bound(
+            task.kind, task.declared, _find_largest(members_view)
+        )
+        time = self._clock.monotonic()
+        losses = {
+            name: (time - running.checkpointed).total_seconds()
+            for name, running in self._running.items()
+        }
+        return choose_preemption(reserved, usable, losses)
+
+    def observe(self, report: UsageReport) -> None:
+        """Fold a late report into sizes and pair estimates."""
+        for usage in report.tasks:
+            running = self._running.get(usage.task)
+            if running is not None:
+                task = running.task
+                share = self._occupancy.find_largest_share(usage.task, report.start)
+                # A throttled task uses fewer processors than it would at full speed.
+                full = replace(usage.used, processors=usage.used.processors / share)
+                self._sizes.observe(task.task, task.kind, task.declared, full)
+        doses = self._occupancy.measure_doses(report.host, report.start, report.end)
+        self._pairs.observe(report, doses)
+        slowdown = self._pairs.measure_slowdown(report)
+        self._measured[report.host] = _Measured(slowdown, report.end)
+
+    def react(self, members_view: Sequence[HostView]) -> tuple[Action, ...]:
+        """Return the actions on running tasks, least costly first."""
+        time = self._clock.monotonic()
+        pressures = [self._measure_pressure(host, time) for host in members_view]
+
+        def find_target(task: RunningTask, source: HostView) -> str | None:
+            return self._find_target(task, source, members_view)
+
+        return self._reaction.decide(
+            pressures, self._weights, self.budget, find_target, time
+        )
+
+    def record_start(self, task: WaitingTask, host: str, share: float) -> None:
+        """Record that an attempt of ``task`` runs on ``host``."""
+        time = self._clock.monotonic()
+        self._running[task.task] = _Running(task, host, time)
+        self._occupancy.record(host, task.task, task.kind, share, time)
+        self._health.record_start(host, task.task)
+
+    def record_share(self, task: str, share: float) -> None:
+        """Record that a running task has another share of its processors."""
+        running = self._running.get(task)
+        if running is not None:
+            time = self._clock.monotonic()
+            kind = running.task.kind
+            self._occupancy.record(running.host, task, kind, share, time)
+
+    def record_checkpoint(self, task: str) -> None:
+        """Record that a running task can now be resumed without loss."""
+        running = self._running.get(task)
+        if running is not None:
+            checkpointed = self._clock.monotonic()
+            self._running[task] = running._replace(checkpointed=checkpointed)
+
+    def record_end(self, task: str, outcome: Outcome) -> None:
+        """Record that an attempt ended."""
+        running = self._running.pop(task, None)
+        if running is None:
+            return
+        time = self._clock.monotonic()
+        self._occupancy.close(task, time)
+        self._reaction.forget(task)
+        match outcome:
+            case Outcome.DONE:
+                self._health.record_success(running.host, running.task.job)
+            case Outcome.FAILED:
+                self._health.record_failure(running.host, running.task.job, time)
+            case Outcome.STOPPED:
+                self._health.end_trial(running.host)
+
+    def _is_usable(self, host: HostView) -> bool:
+        match self._health.find_condition(host.host, self._clock.monotonic()):
+            case Usable():
+                return True
+            case OnTrial():
+                return not host.tasks
+            case SetAside():
+                return False
+
+    def _predict(
+        self, kind: str, host: HostView, probed: frozenset[tuple[str, str]]
+    ) -> Outlook:
+        band = find_band(host.load)
+        estimate = self._pairs.estimate(host.service, band, kind)
+        doses = [(task.kind, task.share) for task in host.tasks]
+        return Outlook(
+            estimate,
+            self._pairs.sum_slowdown(host.service, band, doses),
+            any(self._is_unknown(host, task.kind) for task in host.tasks),
+            (host.service, kind) not in probed,
+        )
+
+    def _list_probed(self, hosts: Sequence[HostView]) -> frozenset[tuple[str, str]]:
+        """Return the pairs of service and kind whose effect is being measured."""
+        return frozenset(
+            (host.service, task.kind)
+            for host in hosts
+            for task in host.tasks
+            if self._is_unknown(host, task.kind)
+        )
+
+    def _is_unknown(self, host: HostView, kind: str) -> bool:
+        estimate = self._pairs.estimate(host.service, find_band(host.load), kind)
+        return estimate.deviation > UNKNOWN_DEVIATION
+
+    def _measure_pressure(self, host: HostView, time: timedelta) -> Pressure:
+        band = find_band(host.load)
+        slowdowns = {
+            task.task: max(
+                0.0, self._pairs.estimate(host.service, band, task.kind).mean
+            )
+            for task in host.tasks
+        }
+        measured = self._measured.get(host.host)
+        recent = measured is not None and time - measured.time < MEASUREMENT_AGE
+        slowdown = measured.slowdown if measured is not None and recent else None
+        return Pressure(host, slowdowns, slowdown)
+
+    def _find_target(
+        self, task: RunningTask, source: HostView, hosts: Sequence[HostView]
+    ) -> str | None:
+        """Return the host on which a held task can run at full speed."""
+        for host in hosts:
+            if host.host == source.host or not self._is_usable(host):
+                continue
+            if not fits(task.reserved, host.free):
+                continue
+            outlook = self._predict(task.kind, host, frozenset())
+            upper = find_upper(outlook.estimate, self._weights)
+            if not outlook.probing and outlook.expected + upper <= 0.7 * self.budget:
+                return host.host
+        return None
+
+
+def _find_largest(hosts: Sequence[HostView]) -> Resources:
+    """Return, for each amount, the most that any empty host offers."""
+    return Resources(
+        max((host.capacity.processors for host in hosts), default=0.0),
+        max((host.capacity.memory_mib for host in hosts), default=0.0),
+        max((host.capacity.accelerators for host in hosts), default=0.0),
+    )
