Free hosts of tasks that are held back

Cause: throttled tasks kept their reservations; 65% of the processors were reserved and 10% used. Change: a task held below 0.3 for minutes is moved, else evicted, from a credit per host; tasks start at a share of 0.6 or more; the uncertainty of what runs replaces the rule that one unknown task closes a host; looser budgets; sizes are trusted from one measured task on, with a wider margin.

--- a/src/egretcrank/policy/interference.py
+++ b/src/egretcrank/policy/interference.py
@@ -106,17 +106,17 @@
         """Return the kind of a running task."""
         return self._open[task][1].kind if task in self._open else None
 
-    def find_largest_share(self, task: str, start: timedelta) -> float:
-        """Return the largest share that a running task had since ``start``."""
-        if task not in self._open:
-            return 1.0
-        host, span = self._open[task]
-        earlier = (
-            closed.share
-            for closed in self._closed[host]
-            if closed.task == task and (closed.end or start) > start
-        )
-        return max((span.share, *earlier))
+    def find_share(
+        self, host: str, task: str, start: timedelta, end: timedelta
+    ) -> float | None:
+        """Return the share of a task that ran unchanged through the whole period."""
+        at, span = self._open.get(task, ("", None))
+        current = [span] if span is not None and at == host else []
+        for span in [*current, *self._closed[host]]:
+            until = end if span.end is None else span.end
+            if span.task == task and span.start <= start and until >= end:
+                return span.share
+        return None
 
     def measure_doses(
         self, host: str, start: timedelta, end: timedelta
@@ -210,14 +210,22 @@
             self._cache[key] = found or self._build_prior(service, band, kind)
         return self._cache[key]
 
-    def sum_slowdown(
+    def sum_slowdowns(
         self, service: str, band: int, doses: Sequence[tuple[str, float]]
-    ) -> float:
-        """Return the expected slowdown by several kinds at their doses."""
-        return sum(
-            dose * max(0.0, self.estimate(service, band, kind).mean)
-            for kind, dose in doses
-        )
+    ) -> Estimate:
+        """Return the slowdown by several tasks, given as kind and dose.
+
+        Errors of different kinds count as independent.
+        """
+        totals: defaultdict[str, float] = defaultdict(float)
+        for kind, dose in doses:
+            totals[kind] += dose
+        mean = variance = 0.0
+        for kind, total in totals.items():
+            estimate = self.estimate(service, band, kind)
+            mean += total * max(0.0, estimate.mean)
+            variance += (total * estimate.deviation) ** 2
+        return Estimate(mean, variance**0.5)
 
     def measure_slowdown(self, report: UsageReport) -> float:
         """Return how far a measured latency is above the estimated baseline."""
--- a/src/egretcrank/policy/placement.py
+++ b/src/egretcrank/policy/placement.py
@@ -7,11 +7,12 @@
 from typing import NamedTuple
 
 from egretcrank.policy.interference import Estimate
+from egretcrank.policy.sizes import cut_bound
 from egretcrank.wire.messages import Resources
 
 # A task is not started below this share of its processors: it would hold memory for
 # little progress.
-SMALLEST_START_SHARE = 0.25
+SMALLEST_START_SHARE = 0.6
 
 # Share at which a kind of unknown interference is first started.
 PROBE_SHARE = 0.3
@@ -119,14 +120,12 @@
 class Outlook(NamedTuple):
     """What is expected of one host if the task starts there.
 
-    ``expected`` is the slowdown by the tasks that run there already; ``probing`` tells
-    that the effect of one of them is still unknown. ``probe_allowed`` is false if the
-    same pair is being probed elsewhere.
+    ``estimate`` is for the new task at full speed and ``present`` for all that runs
+    there already. ``probe_allowed`` is false if the same pair is being probed already.
     """
 
     estimate: Estimate
-    expected: float
-    probing: bool
+    present: Estimate
     probe_allowed: bool
 
 
@@ -144,7 +143,7 @@
 
 def choose_host(
     task: WaitingTask,
-    reserved: Resources,
+    bound: Resources,
     hosts: Sequence[HostView],
     predict: Predict,
     weights: Weights,
@@ -156,12 +155,11 @@
     ``budget`` is the slowdown of a service that the plan tolerates. Where the task
     would exceed it at full speed, it may start with a share of its processors.
     """
-    if hosts and not any(fits(reserved, host.capacity) for host in hosts):
-        return Wait(task.task, "no host is large enough")
-    options: list[tuple[float, float, HostView]] = []
+    options: list[tuple[float, float, Resources, HostView]] = []
     weighed: list[Alternative] = []
     spread = _count_spread(task, hosts)
     for host in hosts:
+        reserved = cut_bound(bound, task.declared, host.capacity)
         if not fits(reserved, host.free):
             weighed.append(Alternative(host.host, None, "does not fit"))
             continue
@@ -171,12 +169,12 @@
             weighed.append(Alternative(host.host, None, "slows the service"))
             continue
         cost = _weigh(host, reserved, outlook, share, weights, spread)
-        options.append((cost, share, host))
+        options.append((cost, share, reserved, host))
         weighed.append(Alternative(host.host, round(cost, 4), f"share {share:.2f}"))
     if not options:
         return Wait(task.task, "no host fits within the budget", False, tuple(weighed))
     rng.shuffle(options)
-    cost, share, host = min(options, key=lambda option: option[0])
+    cost, share, reserved, host = min(options, key=lambda option: option[0])
     others = tuple(other for other in weighed if other.host != host.host)
     return Placement(
         task.task, host.host, reserved, share, f"least cost {cost:.4f}", others
@@ -191,14 +189,13 @@
 
 def _choose_share(outlook: Outlook, weights: Weights, budget: float) -> float | None:
     """Return the share at which the task may start, or ``None``."""
-    left = budget - outlook.expected
-    if left <= 0 or outlook.probing:
+    left = budget - find_upper(outlook.present, weights)
+    if left <= 0:
         return None
+    if outlook.estimate.deviation > UNKNOWN_DEVIATION:
+        return PROBE_SHARE if outlook.probe_allowed else None
     upper = find_upper(outlook.estimate, weights)
     share = 1.0 if upper <= left else left / upper
-    unknown = outlook.estimate.deviation > UNKNOWN_DEVIATION
-    if unknown:
-        return PROBE_SHARE if outlook.probe_allowed else None
     return share if share >= SMALLEST_START_SHARE else None
 
 
--- a/src/egretcrank/policy/quotas.py
+++ b/src/egretcrank/policy/quotas.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from egretcrank.policy.placement import HostView, RunningTask, WaitingTask, fits
+from egretcrank.policy.sizes import cut_bound
 from egretcrank.wire.messages import Resources
 
 # A task that would lose more work than this in seconds is not preempted.
@@ -79,14 +80,20 @@
 
 
 def choose_preemption(
-    wanted: Resources, hosts: Sequence[HostView], losses: Mapping[str, float]
+    declared: Resources,
+    bound: Resources,
+    hosts: Sequence[HostView],
+    losses: Mapping[str, float],
 ) -> Preemption | None:
     """Choose the host and tasks whose eviction loses least work, in seconds.
 
     ``losses`` has, for each task, the work since its last checkpoint; tasks that are
     missing from it are not preempted.
     """
-    found = [_free_host(wanted, host, losses) for host in hosts]
+    found = [
+        _free_host(cut_bound(bound, declared, host.capacity), host, losses)
+        for host in hosts
+    ]
     candidates = [
         preemption
         for preemption in found
--- a/src/egretcrank/policy/reaction.py
+++ b/src/egretcrank/policy/reaction.py
@@ -23,17 +23,19 @@
 # A task keeps a lower share at least for this long.
 RELAX_DELAY = timedelta(seconds=45)
 
-# A task is moved after it was held below HELD_SHARE for this long.
+# A task that was held below HELD_SHARE for this long only takes up room: it is moved,
+# or stopped if it can run nowhere.
 HELD_SHARE = 0.3
-MOVE_DELAY = timedelta(minutes=4)
+MOVE_DELAY = timedelta(seconds=90)
+HELD_DELAY = timedelta(seconds=180)
 
 # Measurements must stay bad for this long, with everything throttled, for an eviction.
 EVICT_DELAY = timedelta(minutes=2)
 
-# Moves and evictions allowed at once, and the time in which one more is earned for a
-# plan that gives evictions no weight.
-EVICTION_BURST = 2.0
-EVICTION_INTERVAL = timedelta(minutes=3)
+# Moves and evictions allowed at once, and the time in which a host earns one more for
+# a plan that gives evictions no weight.
+EVICTION_BURST = 4.0
+EVICTION_INTERVAL = timedelta(minutes=4)
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,7 +109,7 @@
         time: timedelta,
     ) -> tuple[Action, ...]:
         """Return the actions for all hosts, least costly first."""
-        self._earn_credit(weights, time)
+        self._earn_credit(weights, len(pressures), time)
         throttles: list[Throttle] = []
         stops: list[Action] = []
         for pressure in pressures:
@@ -115,10 +117,12 @@
             stops += self._stop(pressure, budget, find_target, time)
         return (*throttles, *stops)
 
-    def _earn_credit(self, weights: Weights, time: timedelta) -> None:
-        interval = EVICTION_INTERVAL.total_seconds() * (1 + 9 * weights.eviction_share)
-        passed = max(0.0, (time - self._credited).total_seconds())
-        self._credit = min(EVICTION_BURST, self._credit + passed / interval)
+    def _earn_credit(self, weights: Weights, hosts: int, time: timedelta) -> None:
+        # The cube makes a plan that puts half of its weight on evictions wait eight
+        # times as long as one that puts none on them.
+        interval = EVICTION_INTERVAL / max(1.0 - weights.eviction_share, 0.05) ** 3
+        passed = max(timedelta(), time - self._credited)
+        self._credit = min(EVICTION_BURST, self._credit + hosts * (passed / interval))
         self._credited = time
 
     def _throttle(
@@ -212,20 +216,24 @@
             target = find_target(task, host)
             if target is None:
                 continue
-            self._credit -= 1
-            self.forget(task.task)
+            self._spend(task.task)
             return [Move(task.task, host.host, target, "held back for long")]
         return []
 
     def _evict(self, pressure: Pressure, time: timedelta) -> list[Action]:
         host = pressure.host
-        if time - self._bad_since.get(host.host, time) < EVICT_DELAY:
-            return []
         evictable = [task for task in host.tasks if not task.urgent]
-        if not evictable:
+        for task in evictable:
+            if time - self._held_since.get(task.task, time) >= HELD_DELAY:
+                self._spend(task.task)
+                return [Evict(task.task, host.host, "held back, no other host")]
+        if time - self._bad_since.get(host.host, time) < EVICT_DELAY or not evictable:
             return []
         worst = max(evictable, key=lambda t: (pressure.slowdowns[t.task], t.task))
-        self._credit -= 1
         self._bad_since.pop(host.host)
-        self.forget(worst.task)
+        self._spend(worst.task)
         return [Evict(worst.task, host.host, "measured latency stays high")]
+
+    def _spend(self, task: str) -> None:
+        self._credit -= 1
+        self.forget(task)
--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -12,6 +12,7 @@
 from egretcrank.policy.interference import (
     Occupancy,
     PairEstimates,
+    TaskUsage,
     UsageReport,
     find_band,
 )
@@ -36,12 +37,11 @@
 )
 from egretcrank.policy.reaction import Action, Pressure, Reaction
 from egretcrank.policy.sizes import SizeEstimates
-from egretcrank.wire.messages import Resources
 
 # Slowdown of a service that is tolerated by plans that give tail latency all of the
 # weight, and none of it.
-STRICT_BUDGET = 0.03
-LOOSE_BUDGET = 0.13
+STRICT_BUDGET = 0.02
+LOOSE_BUDGET = 0.26
 
 # Measured slowdowns older than this say nothing about now.
 MEASUREMENT_AGE = timedelta(minutes=2)
@@ -106,17 +106,15 @@
         usable = [host for host in members_view if self._is_usable(host)]
         if not usable:
             return Wait(task.task, "no usable worker")
-        reserved = self._sizes.bound(
-            task.kind, task.declared, _find_largest(members_view)
-        )
-        if not any(fits(reserved, host.capacity) for host in members_view):
+        if not any(fits(task.declared, host.capacity) for host in members_view):
             return Wait(task.task, "larger than any host")
+        bound = self._sizes.bound(task.kind, task.declared)
         failed = self._health.list_failed(task.job)
         fresh = [host for host in usable if host.host not in failed]
         probed = self._list_probed(members_view)
         return choose_host(
             task,
-            reserved,
+            bound,
             fresh or usable,
             lambda host: self._predict(task.kind, host, probed),
             self._weights,
@@ -131,26 +129,18 @@
         if not task.urgent:
             return None
         usable = [host for host in members_view if self._is_usable(host)]
-        reserved = self._sizes.bound(
-            task.kind, task.declared, _find_largest(members_view)
-        )
+        bound = self._sizes.bound(task.kind, task.declared)
         time = self._clock.monotonic()
         losses = {
             name: (time - running.checkpointed).total_seconds()
             for name, running in self._running.items()
         }
-        return choose_preemption(reserved, usable, losses)
+        return choose_preemption(task.declared, bound, usable, losses)
 
     def observe(self, report: UsageReport) -> None:
         """Fold a late report into sizes and pair estimates."""
         for usage in report.tasks:
-            running = self._running.get(usage.task)
-            if running is not None:
-                task = running.task
-                share = self._occupancy.find_largest_share(usage.task, report.start)
-                # A throttled task uses fewer processors than it would at full speed.
-                full = replace(usage.used, processors=usage.used.processors / share)
-                self._sizes.observe(task.task, task.kind, task.declared, full)
+            self._observe_size(report, usage)
         doses = self._occupancy.measure_doses(report.host, report.start, report.end)
         self._pairs.observe(report, doses)
         slowdown = self._pairs.measure_slowdown(report)
@@ -206,6 +196,19 @@
             case Outcome.STOPPED:
                 self._health.end_trial(running.host)
 
+    def _observe_size(self, report: UsageReport, usage: TaskUsage) -> None:
+        """Fold the use of a task, unless its share changed during the period."""
+        running = self._running.get(usage.task)
+        share = self._occupancy.find_share(
+            report.host, usage.task, report.start, report.end
+        )
+        if running is None or not share:
+            return
+        task = running.task
+        # A throttled task uses fewer processors than it would at full speed.
+        full = replace(usage.used, processors=usage.used.processors / share)
+        self._sizes.observe(task.task, task.kind, task.declared, full)
+
     def _is_usable(self, host: HostView) -> bool:
         match self._health.find_condition(host.host, self._clock.monotonic()):
             case Usable():
@@ -223,8 +226,7 @@
         doses = [(task.kind, task.share) for task in host.tasks]
         return Outlook(
             estimate,
-            self._pairs.sum_slowdown(host.service, band, doses),
-            any(self._is_unknown(host, task.kind) for task in host.tasks),
+            self._pairs.sum_slowdowns(host.service, band, doses),
             (host.service, kind) not in probed,
         )
 
@@ -265,15 +267,7 @@
                 continue
             outlook = self._predict(task.kind, host, frozenset())
             upper = find_upper(outlook.estimate, self._weights)
-            if not outlook.probing and outlook.expected + upper <= 0.7 * self.budget:
+            present = find_upper(outlook.present, self._weights)
+            if present + upper <= self.budget:
                 return host.host
         return None
-
-
-def _find_largest(hosts: Sequence[HostView]) -> Resources:
-    """Return, for each amount, the most that any empty host offers."""
-    return Resources(
-        max((host.capacity.processors for host in hosts), default=0.0),
-        max((host.capacity.memory_mib for host in hosts), default=0.0),
-        max((host.capacity.accelerators for host in hosts), default=0.0),
-    )
--- a/src/egretcrank/policy/sizes.py
+++ b/src/egretcrank/policy/sizes.py
@@ -8,11 +8,8 @@
 # Declared sizes are assumed to be short by at most this factor until reports arrive.
 IGNORANT_FACTOR = 3.0
 
-# Allowance above the largest ratio seen, for few and for many measured tasks.
-FEW_FACTOR = 1.4
-MANY_FACTOR = 1.25
-FEW_TASKS = 3
-MANY_TASKS = 10
+# Allowance above the largest ratio seen, by the number of measured tasks.
+MARGINS = ((10, 1.25), (3, 1.4), (2, 1.6), (1, 2.0))
 
 KEPT_TASKS = 60
 
@@ -45,28 +42,20 @@
         if len(kept) > KEPT_TASKS:
             kept.popitem(last=False)
 
-    def is_known(self, kind: str) -> bool:
-        """Tell whether enough tasks of ``kind`` were measured to trust the ratios."""
-        return len(self._ratios.get(kind, ())) >= FEW_TASKS
-
-    def bound(self, kind: str, declared: Resources, largest: Resources) -> Resources:
-        """Return what to reserve: a safe upper bound of the use of a task.
-
-        ``largest`` is what an empty host offers. A bound beyond it is cut to it, so
-        that a task of unknown size gets a host for itself.
-        """
+    def bound(self, kind: str, declared: Resources) -> Resources:
+        """Return a safe upper bound of the use of a task."""
         processors, memory = self._find_factors(kind)
         return Resources(
-            _cut(declared.processors, processors, largest.processors),
-            _cut(declared.memory_mib, memory, largest.memory_mib),
+            declared.processors * processors,
+            declared.memory_mib * memory,
             declared.accelerators,
         )
 
     def _find_factors(self, kind: str) -> Ratios:
         kept = self._ratios.get(kind)
-        if not kept or len(kept) < FEW_TASKS:
+        if not kept:
             return Ratios(IGNORANT_FACTOR, IGNORANT_FACTOR)
-        margin = MANY_FACTOR if len(kept) >= MANY_TASKS else FEW_FACTOR
+        margin = next(margin for count, margin in MARGINS if len(kept) >= count)
         return Ratios(
             margin * max(ratios.processors for ratios in kept.values()),
             margin * max(ratios.memory for ratios in kept.values()),
@@ -77,7 +66,17 @@
     return used / declared if declared > 0 else IGNORANT_FACTOR
 
 
-def _cut(declared: float, factor: float, largest: float) -> float:
-    if declared > largest:
-        return declared
-    return min(declared * factor, largest)
+def cut_bound(bound: Resources, declared: Resources, whole: Resources) -> Resources:
+    """Cut a bound to what an empty host offers: the task gets the host for itself.
+
+    An amount of which even the declared size does not fit is left as it is.
+    """
+    return Resources(
+        _cut(bound.processors, declared.processors, whole.processors),
+        _cut(bound.memory_mib, declared.memory_mib, whole.memory_mib),
+        bound.accelerators,
+    )
+
+
+def _cut(bound: float, declared: float, whole: float) -> float:
+    return bound if declared > whole else min(bound, whole)
