--- a/src/egretcrank/policy/reaction.py
+++ b/src/egretcrank/policy/reaction.py
@@ -114,7 +114,11 @@
         stops: list[Action] = []
         for pressure in pressures:
             throttles += self._throttle(pressure, budget, time)
-            stops += self._stop(pressure, budget, find_target, time)
+            # The view does not show the room that another move has taken meanwhile.
+            moved = any(isinstance(action, Move) for action in stops)
+            stops += self._stop(
+                pressure, budget, _find_none if moved else find_target, time
+            )
         return (*throttles, *stops)
 
     def _earn_credit(self, weights: Weights, hosts: int, time: timedelta) -> None:
@@ -237,3 +241,7 @@
     def _spend(self, task: str) -> None:
         self._credit -= 1
         self.forget(task)
+
+
+def _find_none(task: RunningTask, host: HostView) -> None:
+    """Find no target for any task."""
