Derive the size margin from the spread of measured tasks

Cause: with many measured tasks, reservations were still 1.25 times the largest ratio seen, and the hosts were full by reservation at half of their use. Change: the margin follows from range and count; the budget is one constant times the weights that are not tail latency.

--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -38,10 +38,8 @@
 from egretcrank.policy.reaction import Action, Pressure, Reaction
 from egretcrank.policy.sizes import SizeEstimates
 
-# Slowdown of a service that is tolerated by plans that give tail latency all of the
-# weight, and none of it.
-STRICT_BUDGET = 0.02
-LOOSE_BUDGET = 0.26
+# Slowdown of a service that is tolerated by a plan that gives tail latency no weight.
+LARGEST_BUDGET = 0.29
 
 # Measured slowdowns older than this say nothing about now.
 MEASUREMENT_AGE = timedelta(minutes=2)
@@ -88,8 +86,7 @@
     @property
     def budget(self) -> float:
         """Return the slowdown of a service that the weights tolerate."""
-        spare = 1.0 - self._weights.tail_share
-        return STRICT_BUDGET + (LOOSE_BUDGET - STRICT_BUDGET) * spare
+        return LARGEST_BUDGET * (1.0 - self._weights.tail_share)
 
     def order(
         self, waiting: Sequence[WaitingTask], quotas: Mapping[str, Quota]
--- a/src/egretcrank/policy/sizes.py
+++ b/src/egretcrank/policy/sizes.py
@@ -1,6 +1,7 @@
 """True resource use of tasks, learned from late reports."""
 
 from collections import OrderedDict, defaultdict
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from egretcrank.wire.messages import Resources
@@ -9,7 +10,13 @@
 IGNORANT_FACTOR = 3.0
 
 # Allowance above the largest ratio seen, by the number of measured tasks.
-MARGINS = ((10, 1.25), (3, 1.4), (2, 1.6), (1, 2.0))
+MARGINS = ((3, 1.4), (2, 1.6), (1, 2.0))
+
+# From this number of tasks on, the allowance follows from their spread: the largest of
+# n values is expected to be short of the true maximum by about the range divided by n.
+MANY_TASKS = 10
+RANGE_FACTOR = 4.0
+SMALLEST_MARGIN = 1.05
 
 KEPT_TASKS = 60
 
@@ -55,13 +62,20 @@
         kept = self._ratios.get(kind)
         if not kept:
             return Ratios(IGNORANT_FACTOR, IGNORANT_FACTOR)
-        margin = next(margin for count, margin in MARGINS if len(kept) >= count)
         return Ratios(
-            margin * max(ratios.processors for ratios in kept.values()),
-            margin * max(ratios.memory for ratios in kept.values()),
+            _add_margin([ratios.processors for ratios in kept.values()]),
+            _add_margin([ratios.memory for ratios in kept.values()]),
         )
 
 
+def _add_margin(ratios: Sequence[float]) -> float:
+    largest, count = max(ratios), len(ratios)
+    if count >= MANY_TASKS:
+        spread = RANGE_FACTOR * (largest - min(ratios)) / count
+        return max(largest * SMALLEST_MARGIN, largest + spread)
+    return largest * next(margin for least, margin in MARGINS if count >= least)
+
+
 def _divide(used: float, declared: float) -> float:
     return used / declared if declared > 0 else IGNORANT_FACTOR
 
