Probe uncertain pairs at a low share

Cause: a probe was raised to full speed at once by its expected effect, and a pair with a middling estimate was neither probed nor placed, so it was never measured again. Change: limits are lifted by the cautious estimate; a pair that may be harmless is started at a low share.

--- a/src/egretcrank/policy/placement.py
+++ b/src/egretcrank/policy/placement.py
@@ -17,8 +17,8 @@
 # Share at which a kind of unknown interference is first started.
 PROBE_SHARE = 0.3
 
-# An estimate with a larger deviation than this is unknown and needs a probe.
-UNKNOWN_DEVIATION = 0.3
+# An estimate with a smaller deviation than this gains nothing from a probe.
+KNOWN_DEVIATION = 0.05
 
 # Costs per share of the customer's other tasks in the same rack or failure domain.
 RACK_COST = 0.02
@@ -192,11 +192,19 @@
     left = budget - find_upper(outlook.present, weights)
     if left <= 0:
         return None
-    if outlook.estimate.deviation > UNKNOWN_DEVIATION:
-        return PROBE_SHARE if outlook.probe_allowed else None
-    upper = find_upper(outlook.estimate, weights)
+    estimate = outlook.estimate
+    upper = find_upper(estimate, weights)
     share = 1.0 if upper <= left else left / upper
-    return share if share >= SMALLEST_START_SHARE else None
+    if share >= SMALLEST_START_SHARE:
+        return share
+    # A pair that may well be harmless is measured at a low share; without this, an
+    # uncertain estimate would keep the kind from ever being measured again.
+    uncertain = estimate.deviation > KNOWN_DEVIATION
+    promising = estimate.mean - estimate.deviation <= left
+    affordable = PROBE_SHARE * estimate.mean <= left
+    if uncertain and promising and affordable and outlook.probe_allowed:
+        return PROBE_SHARE
+    return None
 
 
 def _count_spread(
--- a/src/egretcrank/policy/reaction.py
+++ b/src/egretcrank/policy/reaction.py
@@ -73,12 +73,14 @@
 class Pressure(NamedTuple):
     """What a host's tasks do to its service now.
 
-    ``slowdowns`` is the expected slowdown of each task at full speed; ``measured`` is
-    the newest measured slowdown, which is late, or ``None``.
+    ``slowdowns`` is the expected slowdown of each task at full speed, and ``uppers``
+    the one to reckon with given its uncertainty; ``measured`` is the newest measured
+    slowdown, which is late, or ``None``.
     """
 
     host: HostView
     slowdowns: Mapping[str, float]
+    uppers: Mapping[str, float]
     measured: float | None = None
 
 
@@ -137,8 +139,11 @@
         expected = sum(slowdowns[name] * share for name, share in shares.items())
         if expected > budget * HIGH:
             return self._lower(pressure, shares, expected - budget, time)
-        if expected < budget * LOW:
-            return self._raise(pressure, shares, budget - expected, time)
+        # A limit is lifted only as far as the uncertainty allows; otherwise a task of
+        # unknown effect would run at full speed before its first report.
+        upper = sum(pressure.uppers[name] * share for name, share in shares.items())
+        if upper < budget * LOW:
+            return self._raise(pressure, shares, budget - upper, time)
         return []
 
     def _lower(
@@ -179,9 +184,8 @@
         ]
         if not rested:
             return []
-        name = min(rested, key=lambda n: (pressure.slowdowns[n], n))
-        slowdown = pressure.slowdowns[name]
-        share = min(1.0, shares[name] + spare / max(slowdown, 1e-9))
+        name = min(rested, key=lambda n: (pressure.uppers[n], n))
+        share = min(1.0, shares[name] + spare / max(pressure.uppers[name], 1e-9))
         if share < min(1.0, shares[name] * 1.2):
             return []
         return [Throttle(name, pressure.host.host, share, "service has room")]
--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -17,7 +17,7 @@
     find_band,
 )
 from egretcrank.policy.placement import (
-    UNKNOWN_DEVIATION,
+    KNOWN_DEVIATION,
     HostView,
     Outlook,
     Placement,
@@ -238,20 +238,22 @@
 
     def _is_unknown(self, host: HostView, kind: str) -> bool:
         estimate = self._pairs.estimate(host.service, find_band(host.load), kind)
-        return estimate.deviation > UNKNOWN_DEVIATION
+        return estimate.deviation > KNOWN_DEVIATION
 
     def _measure_pressure(self, host: HostView, time: timedelta) -> Pressure:
         band = find_band(host.load)
-        slowdowns = {
-            task.task: max(
-                0.0, self._pairs.estimate(host.service, band, task.kind).mean
-            )
+        estimates = {
+            task.task: self._pairs.estimate(host.service, band, task.kind)
             for task in host.tasks
         }
+        slowdowns = {name: max(0.0, found.mean) for name, found in estimates.items()}
+        uppers = {
+            name: find_upper(found, self._weights) for name, found in estimates.items()
+        }
         measured = self._measured.get(host.host)
         recent = measured is not None and time - measured.time < MEASUREMENT_AGE
         slowdown = measured.slowdown if measured is not None and recent else None
-        return Pressure(host, slowdowns, slowdown)
+        return Pressure(host, slowdowns, uppers, slowdown)
 
     def _find_target(
         self, task: RunningTask, source: HostView, hosts: Sequence[HostView]
