--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -39,7 +39,7 @@
 from egretcrank.policy.sizes import SizeEstimates
 
 # Slowdown of a service that is tolerated by a plan that gives tail latency no weight.
-LARGEST_BUDGET = 0.29
+LARGEST_BUDGET = 0.28
 
 # Measured slowdowns older than this say nothing about now.
 MEASUREMENT_AGE = timedelta(minutes=2)
@@ -86,7 +86,7 @@
     @property
     def budget(self) -> float:
         """Return the slowdown of a service that the weights tolerate."""
-        return LARGEST_BUDGET * (1.0 - self._weights.tail_share)
+        return float(LARGEST_BUDGET * (1.0 - self._weights.tail_share) ** 0.5)
 
     def order(
         self, waiting: Sequence[WaitingTask], quotas: Mapping[str, Quota]
