--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -11,13 +11,15 @@
 from returns.result import Result
 
 from egretcrank.clock import Clock, SystemClock
-from egretcrank.entry.http import HttpInterface, build_http_server
+from egretcrank.entry.http import HttpInterface
 from egretcrank.entry.requests import RequestRouter
+from egretcrank.entry.server import build_http_server
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.membership.directory import Directory
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.state import OwnersState
+from egretcrank.routing.admission import Admission
 from egretcrank.settings.schema import Settings
 from egretcrank.stream.client import HttpLogClient
 from egretcrank.stream.reader import StreamReader
@@ -40,6 +42,8 @@
 
 CONTROL_CONTEXTS = 32
 LOG_THREADS = 8
+# One thread in this many is never used for a request in flight.
+SPARE_THREADS = 8
 DESCRIBE_TIMEOUT = timedelta(seconds=2)
 DRAIN_POLL = timedelta(milliseconds=50)
 
@@ -87,7 +91,12 @@
         reader = asyncio.create_task(self._owners_reader.run())
         http = build_http_server(
             self._settings.entry,
-            HttpInterface(self._settings.entry, self, self._bridge),
+            HttpInterface(
+                self._settings.entry,
+                self,
+                self._bridge,
+                build_admission(self._settings),
+            ),
         )
         http.prepare()
         thread = threading.Thread(target=http.serve, name="http", daemon=True)
@@ -211,6 +220,17 @@
                 )
 
 
+def build_admission(settings: Settings) -> Admission:
+    """Build the limit of requests in flight.
+
+    Each request in flight holds a thread, so some threads are kept free to refuse
+    requests and to answer operators.
+    """
+    threads = settings.entry.threads
+    usable = max(1, threads - max(1, threads // SPARE_THREADS))
+    return Admission(min(settings.entry.max_in_flight, usable))
+
+
 def run_entry(settings: Settings) -> None:
     """Run an entry until it is told to stop."""
 
--- a/src/egretcrank/entry/http.py
+++ b/src/egretcrank/entry/http.py
@@ -1,5 +1,6 @@
 """HTTP interface of an entry, a WSGI application on cheroot's threads."""
 
+import logging
 import math
 from collections.abc import Callable, Coroutine, Iterable
 from datetime import timedelta
@@ -8,23 +9,28 @@
 from uuid import uuid4
 
 import msgspec
-from cheroot.wsgi import Server as WsgiServer
+from cheroot.errors import MaxSizeExceeded
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.answers import ANSWERS, build_error_body
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.routing.admission import Admission
 from egretcrank.settings.schema import EntrySettings
 from egretcrank.transport.threads import ThreadBridge
 from egretcrank.wire.messages import Execute, Executed
 
 SERVICE_PREFIX = "/v1/services/"
 EXPLAIN_PREFIX = "/explain/"
+READ_PATHS = frozenset({"/healthz", "/status", "/metrics"})
 ANSWER_MARGIN = timedelta(seconds=5)
 MAX_NAME_LENGTH = 200
+READ_BYTES = 65536
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
+logger = logging.getLogger(__name__)
+
 
 class HttpAnswer(NamedTuple):
     """Status, headers and body of an answer."""
@@ -54,19 +60,29 @@
     """Reads requests, hands them to the event loop and writes the answers."""
 
     def __init__(
-        self, settings: EntrySettings, operations: EntryOperations, bridge: ThreadBridge
+        self,
+        settings: EntrySettings,
+        operations: EntryOperations,
+        bridge: ThreadBridge,
+        admission: Admission,
     ) -> None:
         self._settings = settings
         self._operations = operations
         self._bridge = bridge
+        self._admission = admission
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
-        answer = self._route(environ)
-        phrase = HTTPStatus(answer.status).phrase
+        try:
+            answer = self._route(environ)
+        except Exception:
+            logger.exception("request failed", extra={"path": environ.get("PATH_INFO")})
+            answer = _build_error(Problem(ErrorKind.INTERNAL, "request failed"), "")
+        if answer.status >= 400:
+            _refuse_rest(environ)
         headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
-        start(f"{answer.status} {phrase}", headers)
-        return [answer.body]
+        start(f"{answer.status} {_find_phrase(answer.status)}", headers)
+        return [] if environ.get("REQUEST_METHOD") == "HEAD" else [answer.body]
 
     def _route(self, environ: Environ) -> HttpAnswer:
         path = environ.get("PATH_INFO", "")
@@ -74,14 +90,16 @@
         match method, path:
             case "POST", path if path.startswith(SERVICE_PREFIX):
                 return self._answer_service(environ, path.removeprefix(SERVICE_PREFIX))
-            case "GET", "/healthz":
+            case _, path if (allowed := _find_methods(path)) and method not in allowed:
+                return _refuse_method(method, path, allowed)
+            case _, "/healthz":
                 return _build_json(200, {"status": "ok"})
-            case "GET", "/status":
+            case _, "/status":
                 return self._answer_json(self._operations.describe_status())
-            case "GET", path if path.startswith(EXPLAIN_PREFIX):
+            case _, path if path.startswith(EXPLAIN_PREFIX):
                 subject = path.removeprefix(EXPLAIN_PREFIX)
                 return self._answer_json(self._operations.explain(subject))
-            case "GET", "/metrics":
+            case _, "/metrics":
                 return self._answer_metrics(environ.get("HTTP_ACCEPT", "*/*"))
             case _:
                 detail = f"{method} {path} is not known"
@@ -89,20 +107,32 @@
 
     def _answer_service(self, environ: Environ, service: str) -> HttpAnswer:
         request_id = uuid4().hex
-        match self._read_request(environ, service, request_id):
+        name = _read_customer(environ)
+        if isinstance(name, Failure):
+            return _build_error(name.failure(), request_id)
+        customer = name.unwrap()
+        # Before the body is read: a slow sender holds a thread of its customer's share.
+        refusal = self._admission.enter(customer)
+        if refusal is not None:
+            return _build_error(refusal, request_id)
+        try:
+            return self._answer_admitted(environ, service, customer, request_id)
+        finally:
+            self._admission.leave(customer)
+
+    def _answer_admitted(
+        self, environ: Environ, service: str, customer: str, request_id: str
+    ) -> HttpAnswer:
+        match self._read_request(environ, service, customer, request_id):
             case Failure(problem):
                 return _build_error(problem, request_id)
             case Success(request):
                 pass
-        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-        if len(key) > MAX_NAME_LENGTH:
-            problem = Problem(
-                ErrorKind.BAD_REQUEST,
-                f"key has {len(key)} characters",
-                "Idempotency-Key",
-                f"at most {MAX_NAME_LENGTH} characters",
-            )
-            return _build_error(problem, request_id)
+        match _read_name(environ, "HTTP_IDEMPOTENCY_KEY", "Idempotency-Key"):
+            case Failure(problem):
+                return _build_error(problem, request_id)
+            case Success(key):
+                pass
         limit = timedelta(seconds=request.timeout_seconds) + ANSWER_MARGIN
         result = self._bridge.run_on_loop(
             self._operations.answer(request, key), limit
@@ -115,7 +145,7 @@
         raise AssertionError("unreachable")
 
     def _read_request(
-        self, environ: Environ, service: str, request_id: str
+        self, environ: Environ, service: str, customer: str, request_id: str
     ) -> Result[Execute, Problem]:
         timeout = self._read_timeout(environ)
         if isinstance(timeout, Failure):
@@ -123,23 +153,16 @@
         body = self._read_body(environ)
         if isinstance(body, Failure):
             return Failure(body.failure())
-        customer = environ.get("HTTP_EGRETCRANK_CUSTOMER", "")
-        if not customer or len(customer) > MAX_NAME_LENGTH:
-            return Failure(
-                Problem(
-                    ErrorKind.BAD_REQUEST,
-                    "customer is missing or too long",
-                    "Egretcrank-Customer",
-                    "the name or alias of a customer",
-                )
-            )
+        content_type = _read_name(environ, "CONTENT_TYPE", "Content-Type")
+        if isinstance(content_type, Failure):
+            return Failure(content_type.failure())
         return Success(
             Execute(
                 request_id=request_id,
                 service=service,
                 customer=customer,
                 timeout_seconds=timeout.unwrap().total_seconds(),
-                content_type=environ.get("CONTENT_TYPE", ""),
+                content_type=content_type.unwrap(),
                 body=body.unwrap(),
             )
         )
@@ -165,8 +188,17 @@
         return Success(timedelta(seconds=seconds))
 
     def _read_body(self, environ: Environ) -> Result[bytes, Problem]:
-        text = environ.get("CONTENT_LENGTH") or "0"
-        if not text.isdecimal():
+        text = environ.get("CONTENT_LENGTH", "")
+        chunked = "HTTP_TRANSFER_ENCODING" in environ
+        if chunked and text:
+            detail = "both a length and a transfer encoding are given"
+            return Failure(
+                Problem(ErrorKind.BAD_REQUEST, detail, "Content-Length", "one of them")
+            )
+        if chunked:
+            return self._read_chunks(environ)
+        text = text or "0"
+        if not (text.isascii() and text.isdecimal() and len(text) < MAX_NAME_LENGTH):
             return Failure(
                 Problem(
                     ErrorKind.BAD_REQUEST,
@@ -185,12 +217,38 @@
                     f"at most {self._settings.max_body_bytes} bytes",
                 )
             )
-        body = environ["wsgi.input"].read(length) if length else b""
+        try:
+            body = environ["wsgi.input"].read(length) if length else b""
+        except (OSError, ValueError) as error:
+            return Failure(_describe_unread(error))
+        _finish_receiving(environ)
         if len(body) != length:
             detail = f"body has {len(body)} of {length} bytes"
             return Failure(Problem(ErrorKind.BAD_REQUEST, detail, "body"))
         return Success(body)
 
+    def _read_chunks(self, environ: Environ) -> Result[bytes, Problem]:
+        limit = self._settings.max_body_bytes
+        parts: list[bytes] = []
+        length = 0
+        try:
+            while part := environ["wsgi.input"].read(READ_BYTES):
+                parts.append(part)
+                length += len(part)
+                if length > limit:
+                    return Failure(
+                        Problem(
+                            ErrorKind.BODY_TOO_LARGE,
+                            f"body has more than {limit} bytes",
+                            "body",
+                            f"at most {limit} bytes",
+                        )
+                    )
+        except (OSError, ValueError, MaxSizeExceeded) as error:
+            return Failure(_describe_unread(error))
+        _finish_receiving(environ)
+        return Success(b"".join(parts))
+
     def _answer_json(self, coroutine: Coroutine[Any, Any, Any]) -> HttpAnswer:
         match self._bridge.run_on_loop(coroutine, ANSWER_MARGIN):
             case Success(document):
@@ -209,9 +267,90 @@
         raise AssertionError("unreachable")
 
 
+def _find_phrase(status: int) -> str:
+    """Return the phrase of a status; an upstream may use one without."""
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Unknown"
+
+
+def _find_methods(path: str) -> tuple[str, ...]:
+    if path.startswith(SERVICE_PREFIX):
+        return ("POST",)
+    if path in READ_PATHS or path.startswith(EXPLAIN_PREFIX):
+        return ("GET", "HEAD")
+    return ()
+
+
+def _refuse_method(method: str, path: str, allowed: tuple[str, ...]) -> HttpAnswer:
+    methods = ", ".join(allowed)
+    problem = Problem(
+        ErrorKind.METHOD_NOT_ALLOWED,
+        f"{method} is not possible on {path}",
+        "method",
+        methods,
+    )
+    answer = _build_error(problem, "")
+    answer.headers.append(("Allow", methods))
+    return answer
+
+
+def _refuse_rest(environ: Environ) -> None:
+    reception = environ.get("egretcrank.reception")
+    if reception is not None:
+        reception.refuse()
+
+
+def _finish_receiving(environ: Environ) -> None:
+    reception = environ.get("egretcrank.reception")
+    if reception is not None:
+        reception.finish()
+
+
+def _describe_unread(error: Exception) -> Problem:
+    return Problem(
+        ErrorKind.BAD_REQUEST, f"body could not be read: {error}", "body", "a body"
+    )
+
+
+def _read_name(environ: Environ, name: str, header: str) -> Result[str, Problem]:
+    """Read a header as UTF-8; WSGI hands it over as if it were Latin-1."""
+    try:
+        text = environ.get(name, "").encode("latin-1").decode()
+    except UnicodeError:
+        detail = "value is not UTF-8"
+        return Failure(Problem(ErrorKind.BAD_REQUEST, detail, header, "UTF-8 text"))
+    if len(text) > MAX_NAME_LENGTH or not text.isprintable():
+        return Failure(
+            Problem(
+                ErrorKind.BAD_REQUEST,
+                f"value has {len(text)} characters or is not printable",
+                header,
+                f"at most {MAX_NAME_LENGTH} printable characters",
+            )
+        )
+    return Success(text)
+
+
+def _read_customer(environ: Environ) -> Result[str, Problem]:
+    header = "Egretcrank-Customer"
+    result = _read_name(environ, "HTTP_EGRETCRANK_CUSTOMER", header)
+    if isinstance(result, Success) and not result.unwrap():
+        return Failure(
+            Problem(
+                ErrorKind.BAD_REQUEST,
+                "customer is missing",
+                header,
+                "the name or alias of a customer",
+            )
+        )
+    return result
+
+
 def _build_answer(executed: Executed, request_id: str) -> HttpAnswer:
     headers = [
-        ("Content-Type", executed.content_type or "application/octet-stream"),
+        ("Content-Type", _clean(executed.content_type) or "application/octet-stream"),
         ("Egretcrank-Request-Id", request_id),
         ("Egretcrank-Host", executed.host),
     ]
@@ -220,6 +359,11 @@
     return HttpAnswer(executed.status, headers, executed.body)
 
 
+def _clean(value: str) -> str:
+    """Return a header value on one line, as Latin-1 text that stands for UTF-8."""
+    return " ".join(value.split()).encode().decode("latin-1")
+
+
 def _build_error(problem: Problem, request_id: str) -> HttpAnswer:
     answer = _build_json(
         ANSWERS[problem.kind].status, build_error_body(problem, request_id)
@@ -233,21 +377,3 @@
 def _build_json(status: int, document: Any) -> HttpAnswer:
     headers = [("Content-Type", "application/json")]
     return HttpAnswer(status, headers, msgspec.json.encode(document))
-
-
-def build_http_server(
-    settings: EntrySettings, application: HttpInterface
-) -> WsgiServer:
-    """Build the HTTP server; ``start`` blocks and ``stop`` waits for its threads."""
-    host, _, port = settings.http_address.rpartition(":")
-    server = WsgiServer(
-        (host.strip("[]"), int(port)),
-        application,
-        numthreads=settings.threads,
-        max=settings.threads,
-        request_queue_size=settings.max_in_flight,
-        timeout=30,
-        shutdown_timeout=30,
-    )
-    server.max_request_body_size = settings.max_body_bytes
-    return server
--- a/src/egretcrank/entry/requests.py
+++ b/src/egretcrank/entry/requests.py
@@ -16,12 +16,18 @@
 from egretcrank.ownership.partitions import find_partition
 from egretcrank.ownership.state import OwnersState
 from egretcrank.routing.budget import RetryBudget
+from egretcrank.routing.outliers import Outliers
 from egretcrank.routing.selection import Choice, Selector
 from egretcrank.settings.schema import Settings
 from egretcrank.transport.client import Peers
-from egretcrank.wire.messages import Execute, Executed, MemberStatus, Submit
+from egretcrank.wire.messages import Execute, Executed, Member, MemberStatus, Submit
 
 RETRY_DELAY = timedelta(milliseconds=100)
+EJECTION_SUBJECT = "host:{}"
+# A member whose last announcement is older has missed one.
+SILENT_INTERVALS = 1.5
+# A caller with less patience than this cannot tell a slow host from a usual one.
+PATIENCE = timedelta(seconds=1)
 SUBMIT_REPLY_MARGIN = timedelta(seconds=1)
 
 Outcome = Result[Executed, Problem]
@@ -51,6 +57,8 @@
         self._decisions = decisions
         self._metrics = metrics
         self._selector = Selector(settings.process.failure_domain, generator)
+        silence = SILENT_INTERVALS * settings.cluster.announce_seconds
+        self._outliers = Outliers(clock, generator, silence)
         self._budget = RetryBudget(
             settings.entry.retry_ratio, settings.entry.retry_burst
         )
@@ -88,12 +96,13 @@
             retry_after=timedelta(seconds=1),
         )
         while (remaining := deadline - self._clock.monotonic()) > timedelta(0):
-            choice = self._selector.choose(request.service, self._members(), tried)
+            choice = self._choose(request.service, tried)
             if choice is None:
                 return Failure(last)
             if tried and not self._budget.take():
+                self._record_no_retry(request.request_id, last)
                 return Failure(last)
-            self._record(request.request_id, choice, len(tried) + 1)
+            self._record(request.request_id, choice, len(tried) + 1, last)
             tried.add(choice.member.host)
             outcome = await self._send(request, choice, remaining)
             if isinstance(outcome, Success):
@@ -102,18 +111,40 @@
             last = outcome.failure()
         return Failure(last)
 
+    def _choose(self, service: str, tried: set[str]) -> Choice | None:
+        members = self._members()
+        avoided = tried | self._outliers.list_avoided()
+        choice = self._selector.choose(service, members, avoided)
+        if choice is None and avoided != tried:
+            # Hosts that are avoided may have recovered; no other is left.
+            return self._selector.choose(service, members, tried)
+        return choice
+
     async def _send(
         self, request: Execute, choice: Choice, remaining: timedelta
     ) -> Outcome:
         message = _limit_time(request, remaining)
-        self._selector.begin(choice.member.host)
+        member = choice.member
+        self._selector.begin(member.host)
+        self._outliers.begin(member)
+        started = self._clock.monotonic()
+        fault: ErrorKind | None = ErrorKind.DEADLINE_BEFORE_START
         try:
-            reply = await self._peers.call(
-                choice.member.request_address, message, remaining
+            reply = await self._peers.call(member.request_address, message, remaining)
+            outcome = reply.bind(
+                lambda answer: check_answer(answer, request.request_id)
             )
+            fault = _find_fault(outcome)
+            waited = self._clock.monotonic() - started
+            if fault in _TIME_OUTS and remaining < PATIENCE and waited >= remaining:
+                fault = ErrorKind.DEADLINE_BEFORE_START
         finally:
-            self._selector.end(choice.member.host)
-        return reply.bind(lambda answer: check_answer(answer, request.request_id))
+            self._selector.end(member.host)
+            elapsed = self._clock.monotonic() - started
+            reason = self._outliers.end(member, fault, elapsed, self._members())
+            if reason:
+                self._record_ejection(member, reason, elapsed)
+        return outcome
 
     async def _submit(self, submit: Submit) -> Outcome:
         """Hand a key to its owner; repeating that is safe, because the key is."""
@@ -148,19 +179,49 @@
             return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, last.detail, submit.key))
         return Failure(last)
 
-    def _record(self, request_id: str, choice: Choice, attempt: int) -> None:
+    def _record(
+        self, request_id: str, choice: Choice, attempt: int, last: Problem
+    ) -> None:
+        reason = "less loaded of two candidates"
+        if choice.local and choice.load > choice.alternative_load:
+            reason = "own failure domain, little more loaded"
+        if attempt > 1:
+            reason = f"{reason}, after {last.kind}"
         self._decisions.record(
             Decision(
                 subject=request_id,
                 action="route",
                 choice=choice.member.host,
-                reason="less loaded of two candidates",
+                reason=reason,
                 alternatives=choice.alternatives,
-                inputs={"attempt": attempt, "load": choice.load},
+                inputs={
+                    "attempt": attempt,
+                    "load": round(choice.load, 3),
+                    "alternative_load": round(choice.alternative_load, 3),
+                    "candidates": choice.candidates,
+                    "local": choice.local,
+                },
+            )
+        )
+
+    def _record_no_retry(self, request_id: str, last: Problem) -> None:
+        self._decisions.record(
+            Decision(request_id, "retry", "none", f"no retry left, after {last.kind}")
+        )
+
+    def _record_ejection(self, member: Member, reason: str, elapsed: timedelta) -> None:
+        self._decisions.record(
+            Decision(
+                subject=EJECTION_SUBJECT.format(member.host),
+                action="eject",
+                choice=member.host,
+                reason=reason,
+                inputs={"elapsed_seconds": round(elapsed.total_seconds(), 3)},
             )
         )
 
 
+_TIME_OUTS = frozenset({ErrorKind.CALL_TIMEOUT, ErrorKind.UPSTREAM_FAILED})
 _OWNER_CHANGES = frozenset(
     {
         ErrorKind.NOT_OWNER,
@@ -185,6 +246,13 @@
     return Success(answer)
 
 
+def _find_fault(outcome: Outcome) -> ErrorKind | None:
+    if isinstance(outcome, Success):
+        answered = outcome.unwrap()
+        return ErrorKind.UPSTREAM_FAILED if answered.status >= 500 else None
+    return outcome.failure().kind
+
+
 def _limit_time(request: Execute, remaining: timedelta) -> Execute:
     return Execute(
         request.request_id,
--- a/src/egretcrank/errors/answers.py
+++ b/src/egretcrank/errors/answers.py
@@ -40,6 +40,7 @@
     ErrorKind.KEY_REUSED: Answer(422, Ran.NO),
     ErrorKind.BODY_TOO_LARGE: Answer(413, Ran.NO),
     ErrorKind.NOT_FOUND: Answer(404, Ran.NO),
+    ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Ran.NO),
     ErrorKind.OVERLOADED: Answer(503, Ran.NO),
     ErrorKind.QUOTA_EXCEEDED: Answer(429, Ran.NO),
     ErrorKind.NO_UPSTREAM: Answer(503, Ran.NO),
--- a/src/egretcrank/errors/kinds.py
+++ b/src/egretcrank/errors/kinds.py
@@ -15,6 +15,7 @@
     KEY_REUSED = "key_reused"
     BODY_TOO_LARGE = "body_too_large"
     NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
     OVERLOADED = "overloaded"
     QUOTA_EXCEEDED = "quota_exceeded"
     NO_UPSTREAM = "no_upstream"
--- a/src/egretcrank/host/requests.py
+++ b/src/egretcrank/host/requests.py
@@ -15,6 +15,13 @@
 from egretcrank.host.upstream import UpstreamAnswer, UpstreamClient
 from egretcrank.idempotency.digests import compute_digest
 from egretcrank.observability.metrics import Metrics
+from egretcrank.routing.admission import (
+    Grant,
+    SlotQueue,
+    Weight,
+    round_up_retry,
+    weigh_equally,
+)
 from egretcrank.settings.schema import Settings
 from egretcrank.wire.codec import build_refusal
 from egretcrank.wire.messages import (
@@ -28,7 +35,6 @@
 
 REMEMBERED_ATTEMPTS = 20000
 REMEMBERED_IDENTITIES = 200000
-OVERLOAD_RETRY_AFTER = timedelta(seconds=1)
 
 Outcome = Result[Executed, Problem]
 AttemptKey = tuple[str, int]
@@ -58,6 +64,7 @@
         clock: Clock,
         metrics: Metrics,
         may_hold: Callable[[], bool],
+        weight: Weight = weigh_equally,
     ) -> None:
         self._settings = settings
         self._incarnation = incarnation
@@ -65,9 +72,9 @@
         self._clock = clock
         self._metrics = metrics
         self._may_hold = may_hold
-        self._slots = asyncio.Semaphore(settings.upstream.slots)
-        self._running = 0
-        self._waiting = 0
+        self._slots = SlotQueue(
+            settings.upstream.slots, settings.upstream.queue, weight
+        )
         self._leaving = False
         self._epochs: dict[int, int] = {}
         self._attempts: OrderedDict[AttemptKey, _Attempt] = OrderedDict()
@@ -77,12 +84,12 @@
     @property
     def running(self) -> int:
         """Requests on the upstream."""
-        return self._running
+        return self._slots.running
 
     @property
     def waiting(self) -> int:
         """Requests that wait for a slot."""
-        return self._waiting
+        return self._slots.waiting
 
     def leave(self) -> None:
         """Refuse new requests from now on."""
@@ -169,15 +176,16 @@
         if refusal is not None:
             self._count(request.service, refusal.kind.value)
             return Failure(refusal)
-        self._waiting += 1
-        try:
-            acquired = await self._wait_for_slot(deadline)
-        finally:
-            self._waiting -= 1
-        if not acquired:
-            detail = "no slot became free before the deadline"
-            return Failure(Problem(ErrorKind.DEADLINE_BEFORE_START, detail))
-        self._running += 1
+        limit = deadline - self._clock.monotonic()
+        match await self._slots.acquire(request.customer, limit):
+            case Grant.REFUSED:
+                self._count(request.service, ErrorKind.OVERLOADED.value)
+                return Failure(self._describe_overload())
+            case Grant.EXPIRED:
+                self._count(request.service, ErrorKind.DEADLINE_BEFORE_START.value)
+                detail = "no slot became free before the deadline"
+                return Failure(Problem(ErrorKind.DEADLINE_BEFORE_START, detail))
+        started = self._clock.monotonic()
         try:
             remaining = deadline - self._clock.monotonic()
             if remaining <= timedelta(0):
@@ -188,8 +196,7 @@
                 return Failure(problem)
             return await self._call_upstream(request, remaining)
         finally:
-            self._running -= 1
-            self._slots.release()
+            self._slots.release(self._clock.monotonic() - started)
 
     def _admit(self, request: Execute) -> Problem | None:
         if self._leaving:
@@ -198,22 +205,14 @@
             return Problem(
                 ErrorKind.NO_UPSTREAM, f"no upstream for {request.service!r} here"
             )
-        if self._slots.locked() and self._waiting >= self._settings.upstream.queue:
-            return Problem(
-                ErrorKind.OVERLOADED,
-                f"{self._running} running, {self._waiting} waiting",
-                retry_after=OVERLOAD_RETRY_AFTER,
-            )
         return None
 
-    async def _wait_for_slot(self, deadline: timedelta) -> bool:
-        remaining = (deadline - self._clock.monotonic()).total_seconds()
-        try:
-            async with asyncio.timeout(max(0.0, remaining)):
-                await self._slots.acquire()
-        except TimeoutError:
-            return False
-        return True
+    def _describe_overload(self) -> Problem:
+        return Problem(
+            ErrorKind.OVERLOADED,
+            f"{self.running} running, {self.waiting} waiting",
+            retry_after=round_up_retry(self._slots.estimate_wait()),
+        )
 
     async def _call_upstream(self, request: Execute, remaining: timedelta) -> Outcome:
         service = self._settings.services[request.service]
--- a/src/egretcrank/membership/directory.py
+++ b/src/egretcrank/membership/directory.py
@@ -15,6 +15,9 @@
 
 LOAD_REFRESH = timedelta(seconds=2)
 FORGET_AFTER = timedelta(minutes=10)
+# Silence is judged in seconds; reading the table for each request must not cost a pass
+# over all members.
+SNAPSHOT_AGE = timedelta(milliseconds=50)
 # A domain with fewer members cannot tell a cut from single failures.
 MIN_DOMAIN_MEMBERS = 3
 
@@ -38,6 +41,11 @@
         self._version = 1
         # A restarted entry counts from 1 again, so readers compare its instance too.
         self._instance = f"{name}/{clock.now().timestamp():.6f}"
+        self._snapshot: tuple[MemberStatus, ...] = ()
+        self._snapshot_version = 0
+        self._snapshot_at = clock.monotonic()
+        self._refreshed_at: timedelta | None = None
+        self._refreshed_version = 0
 
     def announce(
         self, announcement: Announce, lists_offset: int, owners_offset: int
@@ -60,6 +68,12 @@
     def refresh(self) -> None:
         """Recompute liveness from silence."""
         now = self._clock.monotonic()
+        if (
+            self._refreshed_at is not None
+            and self._refreshed_version == self._version
+            and now - self._refreshed_at < SNAPSHOT_AGE
+        ):
+            return
         silence = {host: now - seen.heard_at for host, seen in self._members.items()}
         cut = self._find_cut_domains(silence)
         for host, seen in list(self._members.items()):
@@ -72,6 +86,8 @@
                 self._version += 1
                 self._members[host] = seen._replace(version=self._version)
             self._liveness[host] = liveness
+        self._refreshed_at = now
+        self._refreshed_version = self._version
 
     def _find_cut_domains(self, silence: dict[str, timedelta]) -> set[str]:
         """Find domains of which at least half is silent; leavers do not count."""
@@ -124,9 +140,17 @@
         return MemberStatus(seen.member, liveness, silence.total_seconds())
 
     def list_members(self) -> tuple[MemberStatus, ...]:
-        """Return all members with their liveness."""
-        self.refresh()
-        return tuple(self._describe(host) for host in sorted(self._members))
+        """Return all members with their liveness, as of a moment ago at most."""
+        now = self._clock.monotonic()
+        if (
+            self._snapshot_version != self._version
+            or now - self._snapshot_at >= SNAPSHOT_AGE
+        ):
+            self.refresh()
+            self._snapshot = tuple(self._describe(h) for h in sorted(self._members))
+            self._snapshot_version = self._version
+            self._snapshot_at = now
+        return self._snapshot
 
 
 def _order(member: Member) -> tuple[int, int]:
--- a/src/egretcrank/settings/schema.py
+++ b/src/egretcrank/settings/schema.py
@@ -210,7 +210,7 @@
         Kind.ADDRESS, "Address of the HTTP interface.", "", required=True
     )
     threads: int = setting(
-        Kind.INTEGER, "Threads that serve HTTP.", 64, minimum=1, maximum=1024
+        Kind.INTEGER, "Threads that serve HTTP.", 128, minimum=1, maximum=1024
     )
     max_in_flight: int = setting(
         Kind.INTEGER, "Requests in flight at most.", 256, minimum=1, maximum=100000
