Read upstream answers up to a limit and write header values as UTF-8

A customer name outside Latin-1 made the call to the upstream fail as an internal error, and an answer over the limit left its rest on a connection that was used again.

--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -14,7 +14,10 @@
 
 from cheroot.wsgi import Server
 
-THREADS_BEYOND_SLOTS = 16
+# A thread is held by each new connection until its first request, and callers keep
+# about 60 connections open.
+THREADS_BEYOND_SLOTS = 80
+KEPT_CONNECTIONS = 1024
 
 
 class Run(TypedDict):
@@ -109,6 +112,7 @@
     upstream = Upstream(options.slots, options.service_seconds, options.seed)
     threads = options.slots + THREADS_BEYOND_SLOTS
     server = Server((host, int(port)), upstream, numthreads=threads, max=threads)
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
     try:
         server.start()
     except KeyboardInterrupt:
--- a/src/egretcrank/host/upstream.py
+++ b/src/egretcrank/host/upstream.py
@@ -4,6 +4,7 @@
 service, and the answer is the body with its status and content type.
 """
 
+import time
 from datetime import timedelta
 from typing import NamedTuple, Protocol
 
@@ -14,8 +15,11 @@
 from egretcrank.transport.threads import ThreadBridge
 from egretcrank.wire.messages import Execute
 
+DEFAULT_TYPE = "application/octet-stream"
 CONNECT_TIMEOUT = timedelta(seconds=1)
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
+READ_BYTES = 65536
+FIRST_FINAL_STATUS = 200
 
 
 class UpstreamAnswer(NamedTuple):
@@ -61,13 +65,14 @@
         self, path: str, request: Execute, timeout: timedelta
     ) -> Result[UpstreamAnswer, Problem]:
         headers = {
-            "Content-Type": request.content_type or "application/octet-stream",
+            "Content-Type": _write_text(request.content_type) or DEFAULT_TYPE,
             "X-Request-Id": request.request_id,
-            "X-Customer": request.customer,
+            "X-Customer": _write_text(request.customer),
         }
         limits = urllib3.Timeout(
             connect=CONNECT_TIMEOUT.total_seconds(), read=timeout.total_seconds()
         )
+        deadline = time.monotonic() + timeout.total_seconds()
         try:
             response = self._pool.request(
                 "POST",
@@ -77,15 +82,16 @@
                 timeout=limits,
                 preload_content=False,
             )
-            body = response.read(MAX_ANSWER_BYTES + 1)
-            response.release_conn()
+            body = _read_whole(response, deadline)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
             return Failure(Problem(ErrorKind.NO_UPSTREAM, f"not connected: {error}"))
-        except urllib3.exceptions.HTTPError as error:
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
             return Failure(Problem(ErrorKind.UPSTREAM_FAILED, f"no answer: {error}"))
+        if isinstance(body, Problem):
+            return Failure(body)
         return _check_answer(response, body, request.request_id)
 
     def close(self) -> None:
@@ -93,11 +99,39 @@
         self._pool.clear()
 
 
+def _write_text(text: str) -> str:
+    """Return a header value in UTF-8, which the client library takes as Latin-1."""
+    return text.encode().decode("latin-1")
+
+
+def _read_whole(response: urllib3.BaseHTTPResponse, deadline: float) -> bytes | Problem:
+    """Read an answer up to the limit of its length and to the deadline.
+
+    The connection is reused only after a whole answer; the rest of another one would
+    be taken for the answer to the next request.
+    """
+    parts: list[bytes] = []
+    length = 0
+    while part := response.read1(READ_BYTES):
+        parts.append(part)
+        length += len(part)
+        if length > MAX_ANSWER_BYTES:
+            response.close()
+            detail = f"answer is longer than {MAX_ANSWER_BYTES} bytes"
+            return Problem(ErrorKind.UPSTREAM_FAILED, detail)
+        if time.monotonic() > deadline:
+            response.close()
+            detail = f"only {length} bytes of the answer arrived in time"
+            return Problem(ErrorKind.UPSTREAM_FAILED, detail)
+    response.release_conn()
+    return b"".join(parts)
+
+
 def _check_answer(
     response: urllib3.BaseHTTPResponse, body: bytes, request_id: str
 ) -> Result[UpstreamAnswer, Problem]:
-    if len(body) > MAX_ANSWER_BYTES:
-        detail = f"answer is longer than {MAX_ANSWER_BYTES} bytes"
+    if response.status < FIRST_FINAL_STATUS:
+        detail = f"status {response.status} is not final"
         return Failure(Problem(ErrorKind.UPSTREAM_FAILED, detail))
     answered = response.headers.get("X-Request-Id", request_id)
     if answered != request_id:
