Reserve room for customers with few requests in flight; test limits and routing

The tests found that floods that arrive before any request has ended took the whole limit. A part of it is now open only to customers with fewer than two in flight.

--- a/src/egretcrank/entry/server.py
+++ b/src/egretcrank/entry/server.py
@@ -11,6 +11,7 @@
 from cheroot.wsgi import Gateway_10
 from cheroot.wsgi import Server as WsgiServer
 
+from egretcrank.entry.sockets import make_file
 from egretcrank.errors.answers import ANSWERS, build_error_body
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.settings.schema import EntrySettings
@@ -96,9 +97,16 @@
         """Answer, and end the time limit if the interface did not."""
         try:
             super().respond()
+            self.conn.wfile.flush()
         finally:
             self.server.receiving.end(self.conn.socket)
 
+    def read_request_headers(self) -> bool:
+        """Read the headers and send the interim answer that the sender may expect."""
+        success = bool(super().read_request_headers())  # type: ignore[no-untyped-call]
+        self.conn.wfile.flush()
+        return success
+
     def simple_response(self, status: str, msg: str = "") -> None:
         """Send an error of the server as a typed JSON body and close."""
         code = str(status)[:3]
@@ -114,6 +122,7 @@
         self.sent_headers = True
         try:
             self.conn.wfile.write(head.encode("latin-1") + body)
+            self.conn.wfile.flush()
         except OSError as error:
             logger.debug("error was not sent", extra={"error": str(error)})
 
@@ -124,6 +133,9 @@
     RequestHandlerClass = _Request
     was_readable = False
 
+    def __init__(self, server: Any, sock: socket.socket, _makefile: Any = None) -> None:
+        super().__init__(server, sock, make_file)
+
     def communicate(self) -> bool:
         """Serve one request and tell whether the connection stays open."""
         try:
--- a/src/egretcrank/routing/admission.py
+++ b/src/egretcrank/routing/admission.py
@@ -12,8 +12,12 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 
 # A customer of weight 1 may hold this many times the room that is left. One customer
-# alone reaches 8/9 of the limit; three floods together leave 1/25 for the others.
+# alone reaches 8/9 of the shared room; three floods together leave 1/25 of it.
 SHARE_OF_FREE = 8.0
+# The threshold takes effect as requests end. Until then, a part of the limit (one in
+# this many) is open only to customers that hold less than a few requests.
+RESERVED_PART = 8
+RESERVED_EACH = 2
 RETRY_AFTER = timedelta(seconds=1)
 SMALLEST_WEIGHT = 0.001
 SMOOTHING = 0.05
@@ -36,6 +40,7 @@
 
     def __init__(self, limit: int, weight: Weight = weigh_equally) -> None:
         self._limit = limit
+        self._shared = limit - limit // RESERVED_PART
         self._weight = weight
         self._lock = threading.Lock()
         self._held: Counter[str] = Counter()
@@ -50,17 +55,16 @@
         """Admit a request, to be ended with ``leave``, or return the refusal."""
         weight = max(SMALLEST_WEIGHT, self._weight(customer))
         with self._lock:
-            free = self._limit - self._total
-            held = self._held[customer]
-            if free > 0 and held < max(1.0, SHARE_OF_FREE * weight * free):
+            total = self._total
+            held = self._held.get(customer, 0)
+            share = SHARE_OF_FREE * weight * (self._shared - total)
+            if total < self._limit and held < max(RESERVED_EACH, share):
                 self._held[customer] = held + 1
                 self._total += 1
                 return None
-            if not held:
-                del self._held[customer]
         return Problem(
             ErrorKind.OVERLOADED,
-            f"{self._limit - free} requests in flight, {held} of this customer",
+            f"{total} requests in flight, {held} of this customer",
             expected=f"at most {self._limit} in flight, shared between customers",
             retry_after=RETRY_AFTER,
         )
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,148 @@
+"""Tests of limits and fairness between customers."""
+
+import asyncio
+import random
+from datetime import timedelta
+from typing import Any
+
+from egretcrank.errors.kinds import ErrorKind
+from egretcrank.routing.admission import Admission, Grant, SlotQueue
+from tests.cases import AsyncTestCase
+
+PATIENCE = timedelta(seconds=30)
+HELD = timedelta(milliseconds=10)
+
+
+def flood(admission: Admission, customer: str) -> int:
+    admitted = 0
+    while admission.enter(customer) is None:
+        admitted += 1
+    return admitted
+
+
+class AdmissionTests(AsyncTestCase):
+    def test_flood_leaves_room_for_other_customers(self):
+        """Guards against one customer that takes every thread of an entry."""
+        admission = Admission(112)
+        for name in ("flood", "second flood", "third flood"):
+            flood(admission, name)
+        self.assertIsNone(admission.enter("quiet"))
+        refusal: Any = admission.enter("flood")
+        self.assertEqual(ErrorKind.OVERLOADED, refusal.kind)
+        self.assertIsNotNone(refusal.retry_after)
+
+    def test_one_customer_may_use_most_of_the_limit(self):
+        """Guards against fixed shares that leave capacity idle."""
+        self.assertGreaterEqual(flood(Admission(112), "alone"), 85)
+
+    def test_weight_sets_the_share(self):
+        """Guards against weights that have no effect under contention."""
+        admission = Admission(90, {"heavy": 2.0, "light": 0.5}.__getitem__)
+        held = {"heavy": 0, "light": 0}
+        generator = random.Random(1)
+        for _ in range(2000):
+            name = generator.choice([n for n in held for _ in range(held[n])] or [""])
+            if name:
+                admission.leave(name)
+                held[name] -= 1
+            for name in held:
+                held[name] += admission.enter(name) is None
+        self.assertGreater(held["heavy"], 2 * held["light"])
+
+    def test_limit_holds_and_is_given_back(self):
+        """Guards against a limit that is exceeded or leaks."""
+        admission = Admission(10)
+        total = sum(flood(admission, f"customer {n}") for n in range(50))
+        self.assertEqual(10, total)
+        self.assertEqual(10, admission.in_flight)
+        admission = Admission(10)
+        for _ in range(100):
+            self.assertIsNone(admission.enter("one"))
+            admission.leave("one")
+        self.assertEqual(0, admission.in_flight)
+
+
+class SlotQueueTests(AsyncTestCase):
+    async def _wait_in(self, queue, names):
+        order: list[str] = []
+
+        async def run(name):
+            if await queue.acquire(name, PATIENCE) is Grant.TAKEN:
+                order.append(name)
+                await asyncio.sleep(0)
+                queue.release(HELD)
+
+        first = await queue.acquire("first", PATIENCE)
+        tasks = [asyncio.create_task(run(name)) for name in names]
+        await asyncio.sleep(0)
+        queue.release(HELD)
+        await asyncio.gather(*tasks)
+        return first, order
+
+    def test_backlog_of_one_customer_does_not_delay_another(self):
+        """Guards against a queue in order of arrival."""
+        names = ["flood"] * 10 + ["quiet"]
+        queue = SlotQueue(1, 16)
+        _, order = self.run_async(self._wait_in(queue, names))
+        self.assertEqual(11, len(order))
+        self.assertLess(order.index("quiet"), 2)
+        self.assertEqual(0, queue.running)
+
+    def test_full_queue_refuses_the_longest_backlog(self):
+        """Guards against a flood that fills the queue and gets others refused."""
+        names = ["flood"] * 8 + ["quiet", "quiet"]
+        _, order = self.run_async(self._wait_in(SlotQueue(1, 4), names))
+        self.assertEqual(2, order.count("quiet"))
+        self.assertEqual(2, order.count("flood"))
+
+    def test_expired_waiter_gets_no_slot(self):
+        """Guards against a slot that is given to a request whose time has passed."""
+
+        async def scenario():
+            queue = SlotQueue(1, 4)
+            await queue.acquire("a", PATIENCE)
+            expired = await queue.acquire("b", timedelta(milliseconds=1))
+            waiter = asyncio.create_task(queue.acquire("c", PATIENCE))
+            await asyncio.sleep(0)
+            queue.release(HELD)
+            return expired, await waiter, queue.running, queue.waiting
+
+        self.assertEqual((Grant.EXPIRED, Grant.TAKEN, 1, 0), self.run_async(scenario()))
+
+    def test_cancelled_waiter_passes_its_slot_on(self):
+        """Guards against slots that are lost when a waiting request is cancelled."""
+
+        async def scenario():
+            queue = SlotQueue(1, 4)
+            await queue.acquire("a", PATIENCE)
+            cancelled = asyncio.create_task(queue.acquire("b", PATIENCE))
+            granted = asyncio.create_task(queue.acquire("b", PATIENCE))
+            await asyncio.sleep(0)
+            queue.release(HELD)
+            cancelled.cancel()
+            result = await granted
+            queue.release(HELD)
+            return result, queue.running, queue.waiting
+
+        self.assertEqual((Grant.TAKEN, 0, 0), self.run_async(scenario()))
+
+    def test_request_that_cannot_start_in_time_is_refused_early(self):
+        """Guards against a queue full of requests that will expire in it."""
+
+        async def scenario():
+            queue = SlotQueue(1, 16)
+            await queue.acquire("a", PATIENCE)
+            queue.release(timedelta(seconds=1))
+            await queue.acquire("a", PATIENCE)
+            waiters = [
+                asyncio.create_task(queue.acquire("a", PATIENCE)) for _ in range(3)
+            ]
+            await asyncio.sleep(0)
+            late = await queue.acquire("a", timedelta(milliseconds=100))
+            other = queue.waiting
+            for waiter in waiters:
+                waiter.cancel()
+            await asyncio.gather(*waiters, return_exceptions=True)
+            return late, other
+
+        self.assertEqual((Grant.REFUSED, 3), self.run_async(scenario()))
