Tell removed members and a newer incarnation of the own host

Readers kept a forgotten host for ever, a reply that was overtaken undid a newer one, and a sidecar whose clock went back could not find out that the entries ignore it.

--- a/src/egretcrank/membership/announcer.py
+++ b/src/egretcrank/membership/announcer.py
@@ -9,7 +9,13 @@
 from returns.result import Failure, Success
 
 from egretcrank.clock import Clock
-from egretcrank.membership.directory import ALIVE, DEAD, SUSPECT, UNREACHABLE
+from egretcrank.membership.directory import (
+    ALIVE,
+    ASK_INCARNATION,
+    DEAD,
+    SUSPECT,
+    UNREACHABLE,
+)
 from egretcrank.settings.schema import ClusterSettings
 from egretcrank.transport.client import Peers
 from egretcrank.wire.messages import Announce, AnnounceReply, Member, MemberStatus
@@ -49,6 +55,16 @@
         self._clock = clock
         self._sequence = 0
         self._views = {address: _EntryView() for address in settings.entries}
+        self._newer_incarnation = 0
+
+    @property
+    def newer_incarnation(self) -> int:
+        """Incarnation of this host that an entry knows and that is above ours, or 0.
+
+        The entries ignore our announcements then: another process runs in our place, or
+        the clock went back before we started.
+        """
+        return self._newer_incarnation
 
     async def run(self) -> None:
         """Announce until cancelled."""
@@ -76,13 +92,30 @@
         )
         match reply:
             case Success(AnnounceReply() as answer):
+                self._check_incarnation(member, answer)
                 self._merge(view, answer, sent_at)
             case Failure(problem):
                 logger.debug("announcement failed", extra={"detail": problem.detail})
 
+    def _check_incarnation(self, member: Member, reply: AnnounceReply) -> None:
+        if reply.known_incarnation <= max(member.incarnation, self._newer_incarnation):
+            return
+        self._newer_incarnation = reply.known_incarnation
+        logger.error(
+            "a newer incarnation of this host is known",
+            extra={"own": member.incarnation, "known": reply.known_incarnation},
+        )
+
     def _merge(
         self, view: _EntryView, reply: AnnounceReply, sent_at: timedelta
     ) -> None:
+        if (
+            not reply.full
+            and reply.entry == view.instance
+            and reply.version < view.version
+        ):
+            # A reply that was overtaken by a later one of the same entry.
+            return
         if reply.full or reply.entry != view.instance:
             view.members.clear()
         view.members.update({s.member.host: s for s in reply.changed})
@@ -134,6 +167,31 @@
         return len(self._list_fresh_views(self._settings.dead_seconds))
 
 
+async def choose_incarnation(
+    host: str, started: int, settings: ClusterSettings, peers: Peers
+) -> int:
+    """Return an incarnation above all that the entries know of ``host``.
+
+    ``started`` is the start time in microseconds. After a clock that went back it is
+    below the incarnation of the former process, and the entries would ignore the host
+    until the clock has caught up. Entries that do not answer in time are not waited
+    for, so a sidecar can start without any.
+    """
+    question = Announce(Member(host=host, incarnation=ASK_INCARNATION))
+    replies = await asyncio.gather(
+        *(
+            peers.call(address, question, settings.suspect_seconds)
+            for address in settings.entries
+        )
+    )
+    known = [
+        answer.known_incarnation
+        for reply in replies
+        if isinstance(answer := reply.value_or(None), AnnounceReply)
+    ]
+    return max([started, *(incarnation + 1 for incarnation in known)])
+
+
 def _prefer(status: MemberStatus, known: MemberStatus) -> bool:
     incarnation, known_incarnation = (
         status.member.incarnation,
--- a/src/egretcrank/membership/directory.py
+++ b/src/egretcrank/membership/directory.py
@@ -1,6 +1,6 @@
 """Table of members as an entry sees it, filled by announcements."""
 
-from collections import Counter
+from collections import Counter, OrderedDict
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -15,6 +15,9 @@
 
 LOAD_REFRESH = timedelta(seconds=2)
 FORGET_AFTER = timedelta(minutes=10)
+REMEMBERED_REMOVALS = 1000
+# A sidecar announces this incarnation to ask for the one that is known of its host.
+ASK_INCARNATION = 0
 # Silence is judged in seconds; reading the table for each request must not cost a pass
 # over all members.
 SNAPSHOT_AGE = timedelta(milliseconds=50)
@@ -41,9 +44,12 @@
         self._version = 1
         # A restarted entry counts from 1 again, so readers compare its instance too.
         self._instance = f"{name}/{clock.now().timestamp():.6f}"
+        self._removed: OrderedDict[str, int] = OrderedDict()
         self._snapshot: tuple[MemberStatus, ...] = ()
         self._snapshot_version = 0
         self._snapshot_at = clock.monotonic()
+        # A reader that saw an older version gets the whole table.
+        self._whole_since = 0
         self._refreshed_at: timedelta | None = None
         self._refreshed_version = 0
 
@@ -51,19 +57,25 @@
         self, announcement: Announce, lists_offset: int, owners_offset: int
     ) -> AnnounceReply:
         """Take an announcement and reply with what changed since the sender's view."""
-        known = self._members.get(announcement.member.host)
-        if known is None or _order(announcement.member) > _order(known.member):
-            self._store(announcement.member, known)
+        member = announcement.member
+        known = self._members.get(member.host)
+        if member.incarnation != ASK_INCARNATION and (
+            known is None or _order(member) > _order(known.member)
+        ):
+            self._store(member, known)
         self.refresh()
         return self._build_reply(announcement, lists_offset, owners_offset)
 
     def _store(self, member: Member, known: _Seen | None) -> None:
         now = self._clock.monotonic()
+        if self._liveness.get(member.host) != ALIVE:
+            self._refreshed_at = None
         if known is not None and not _is_worth_telling(known, member, now):
             self._members[member.host] = known._replace(member=member, heard_at=now)
             return
         self._version += 1
         self._members[member.host] = _Seen(member, now, now, self._version)
+        self._removed.pop(member.host, None)
 
     def refresh(self) -> None:
         """Recompute liveness from silence."""
@@ -81,6 +93,7 @@
             if liveness == DEAD and silence[host] > FORGET_AFTER:
                 del self._members[host]
                 del self._liveness[host]
+                self._note_removal(host)
                 continue
             if self._liveness.get(host) not in (None, liveness):
                 self._version += 1
@@ -89,6 +102,12 @@
         self._refreshed_at = now
         self._refreshed_version = self._version
 
+    def _note_removal(self, host: str) -> None:
+        self._version += 1
+        self._removed[host] = self._version
+        while len(self._removed) > REMEMBERED_REMOVALS:
+            _, self._whole_since = self._removed.popitem(last=False)
+
     def _find_cut_domains(self, silence: dict[str, timedelta]) -> set[str]:
         """Find domains of which at least half is silent; leavers do not count."""
         total: Counter[str] = Counter()
@@ -115,8 +134,13 @@
     def _build_reply(
         self, announcement: Announce, lists_offset: int, owners_offset: int
     ) -> AnnounceReply:
-        full = announcement.seen_entry != self._instance
+        full = (
+            announcement.seen_entry != self._instance
+            or announcement.seen_version < self._whole_since
+        )
         since = 0 if full else announcement.seen_version
+        if announcement.member.incarnation == ASK_INCARNATION:
+            since = self._version
         changed = tuple(
             self._describe(host)
             for host, seen in self._members.items()
@@ -128,6 +152,7 @@
             version=self._version,
             full=full,
             changed=changed,
+            removed=tuple(h for h, v in self._removed.items() if v > since),
             known_incarnation=known.member.incarnation if known else 0,
             lists_offset=lists_offset,
             owners_offset=owners_offset,
