--- a/bench/standins/upstream.py
+++ b/bench/standins/upstream.py
@@ -16,7 +16,12 @@
 
 from cheroot.wsgi import Server
 
-THREADS_BEYOND_SLOTS = 16
+# A thread is held by each new connection until its first request, and callers keep
+# about 60 connections open.
+THREADS_BEYOND_SLOTS = 80
+KEPT_CONNECTIONS = 1024
+# The default of 5 made connections that are opened together wait a second.
+BACKLOG = 256
 
 
 class Run(TypedDict):
@@ -138,7 +143,14 @@
         options.slots, options.service_seconds, options.seed, options.journal
     )
     threads = options.slots + THREADS_BEYOND_SLOTS
-    server = Server((host, int(port)), upstream, numthreads=threads, max=threads)
+    server = Server(
+        (host, int(port)),
+        upstream,
+        numthreads=threads,
+        max=threads,
+        request_queue_size=BACKLOG,
+    )
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
     try:
         server.start()
     except KeyboardInterrupt:
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -425,6 +425,9 @@
         if self._tasks is None:
             detail = "this host has no worker"
             return build_refusal(Problem(ErrorKind.NO_CAPACITY, detail))
+        # A restarted process knows epochs only from the log.
+        for owner in self._owners.list_owners():
+            self._tasks.raise_epoch(owner.partition, owner.epoch)
         return _reply(await self._tasks.handle(message))
 
     def _describe_process(self) -> ProcessStatus:
