--- a/tests/test_task_parts.py
+++ b/tests/test_task_parts.py
@@ -38,12 +38,15 @@
     Resources,
     Session,
     StartTask,
+    StopTask,
     SubmitJob,
+    TaskEvents,
+    TaskReport,
     TaskSpec,
 )
 from tests.addresses import find_address
 from tests.cases import AsyncTestCase
-from tests.task_world import World
+from tests.task_world import LOG_DOWN, TIMED_OUT, World
 
 SMALL = Resources(1, 100, 0)
 
@@ -292,6 +295,144 @@
         self.assertEqual(ErrorKind.KEY_REUSED, reused.failure().kind)
 
 
+class OwnerFaultTests(AsyncTestCase):
+    """Single faults that random runs meet too rarely."""
+
+    async def submit(self, world, repeat, command="sleep 90"):
+        message = SubmitJob(
+            "k", "c", "bundle", repeat, tasks=(TaskSpec("t", command, SMALL),)
+        )
+        self.assertIsInstance(await world.owner.handle(message), Success)
+
+    def list_starts(self, world):
+        return [
+            (host.name, event.attempt)
+            for host in world.hosts.values()
+            for event in host.worker.history
+            if event.state == "running"
+        ]
+
+    async def run_ticks(self, world, count):
+        for _ in range(count):
+            await world.tick(0.5)
+
+    def hold(self, world, kind):
+        """Keep records of a kind from landing until they are taken from the list."""
+        held = []
+        append = world.owner._append
+
+        async def append_others(record):
+            if isinstance(record, kind):
+                held.append(record)
+                return LOG_DOWN
+            return await append(record)
+
+        world.owner._append = append_others
+        return held
+
+    def test_review_does_not_start_without_recorded_intent(self):
+        """Guards against a review whose start a successor could not know of."""
+
+        async def scenario():
+            world = World(Random(1), 1, 0.0)
+            held = self.hold(world, TaskIntent)
+            await self.submit(world, "never")
+            await self.run_ticks(world, 10)
+            return held, self.list_starts(world)
+
+        held, starts = self.run_async(scenario())
+        self.assertTrue(held)
+        self.assertEqual([], starts)
+
+    def test_refused_attempt_is_not_sent_again(self):
+        """Guards against a refusal whose record lands after a later start."""
+
+        async def scenario():
+            world = World(Random(1), 1, 0.0)
+            ledger = world.hosts["h0"].tasks.ledger
+            ledger.adopt("other", Resources(5, 0, 0))
+            held = self.hold(world, TaskNotStarted)
+            await self.submit(world, "never")
+            await self.run_ticks(world, 4)
+            ledger.release("other")
+            await self.run_ticks(world, 10)
+            before = self.list_starts(world)
+            world.fold(held[0], 1)
+            await self.run_ticks(world, 10)
+            return before, self.list_starts(world)
+
+        before, after = self.run_async(scenario())
+        self.assertEqual([], before)
+        self.assertEqual([("h0", 2)], after)
+
+    def test_former_owner_acknowledges_nothing_newer(self):
+        """Guards against a result that is acknowledged and recorded by nobody."""
+
+        async def scenario():
+            world = World(Random(1), 1, 0.0)
+            await self.submit(world, "from_checkpoint")
+            world.take_over()
+            former = world.owners[0]
+            done = TaskReport("3-001", "3-001/t", 2, 3, "done")
+            unknown = TaskReport("3-002", "3-002/t", 1, 3, "done")
+            later = await former.handle(TaskEvents("h0", 1, 3, 1.0, (done,)))
+            fenced = await former.handle(TaskEvents("h0", 1, 3, 1.0, (unknown,), 2))
+            return later, fenced, former.is_fenced
+
+        later, fenced, is_fenced = self.run_async(scenario())
+        self.assertIsInstance(later, Failure)
+        self.assertEqual(ErrorKind.NOT_OWNER, fenced.failure().kind)
+        self.assertTrue(is_fenced)
+
+    def test_resume_waits_for_stop_of_former_attempt(self):
+        """Guards against a resume beside an attempt that does not stop."""
+
+        async def scenario():
+            world = World(Random(1), 2, 0.0)
+            await self.submit(world, "from_checkpoint")
+            await self.run_ticks(world, 4)
+            world.fold(TaskEvicted(3, 1, "3-001", "t", 1), 1)
+            world.take_over()
+            # The former owner would stop the attempt as long as it may act.
+            world.owners = [world.owner]
+            call = world.owner._call
+
+            async def lose_stops(address, message, timeout):
+                if isinstance(message, StopTask):
+                    return TIMED_OUT
+                return await call(address, message, timeout)
+
+            world.owner._call = lose_stops
+            await self.run_ticks(world, 50)
+            before = self.list_starts(world)
+            world.owner._call = call
+            await self.run_ticks(world, 10)
+            return before, self.list_starts(world), world.find_violations()
+
+        before, after, violations = self.run_async(scenario())
+        self.assertEqual([1], [attempt for _, attempt in before])
+        # The new owner gives up attempt 2, which nobody has reported.
+        self.assertEqual([1, 3], sorted(attempt for _, attempt in after))
+        self.assertEqual([], violations)
+
+    def test_attempt_number_is_not_used_again_after_takeover(self):
+        """Guards against a late report that is taken for one of the new attempt."""
+
+        async def scenario():
+            world = World(Random(1), 2, 0.0)
+            await self.submit(world, "from_checkpoint")
+            await self.run_ticks(world, 4)
+            (cut, _), *_ = self.list_starts(world)
+            world.hosts[cut].cut_until = 1000.0
+            world.take_over()
+            await self.run_ticks(world, 80)
+            return self.list_starts(world), world.find_violations()
+
+        starts, violations = self.run_async(scenario())
+        self.assertEqual([1, 2], sorted(attempt for _, attempt in starts))
+        self.assertEqual([], violations)
+
+
 class CommandTests(AsyncTestCase):
     def test_submit_and_refusal(self):
         """Guards against a wrong request, and exit codes that hide a refusal."""
