Report not run only if no earlier attempt may have run

Cause: found by reading. A lookup whose first attempt timed out and whose second was refused was answered with the refusal, which says ran=no. The way to a partition's owner stood twice, in requests and in jobs. Change: one OwnerRoute for both; doubt_not_run turns such a refusal into outcome_unknown.

--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -14,6 +14,7 @@
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.entry.http import HttpInterface
 from egretcrank.entry.jobs import JobRequest, JobRouter
+from egretcrank.entry.owners import OwnerRoute
 from egretcrank.entry.requests import RequestRouter
 from egretcrank.entry.server import build_http_server
 from egretcrank.errors.kinds import ErrorKind, Problem
@@ -77,9 +78,10 @@
         self._owners_reader = self._build_reader("owners", self._owners)
         self._lists = ListsState()
         self._lists_reader = self._build_reader("lists", self._lists)
+        route = OwnerRoute(self._owners, self._peers, clock)
         self._router = RequestRouter(
             settings,
-            self._owners,
+            route,
             self._directory.list_members,
             self._peers,
             clock,
@@ -87,7 +89,7 @@
             self._metrics,
             random.Random(),
         )
-        self._jobs = JobRouter(settings, self._owners, self._lists, self._peers, clock)
+        self._jobs = JobRouter(settings, self._lists, route)
         self._in_flight = 0
         self._state = "serving"
         self._stop = asyncio.Event()
--- a/src/egretcrank/entry/jobs.py
+++ b/src/egretcrank/entry/jobs.py
@@ -6,37 +6,25 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from egretcrank.clock import Clock
-from egretcrank.errors.answers import was_not_run
+from egretcrank.entry.owners import OwnerRoute
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.lists.state import ListsState
 from egretcrank.ownership.partitions import find_job_partition, find_partition
-from egretcrank.ownership.state import OwnersState
 from egretcrank.settings.schema import Settings
-from egretcrank.transport.client import Peers
 from egretcrank.wire.messages import (
     AcknowledgeJob,
     CancelJob,
     DescribeJob,
     JobReply,
+    Message,
     SubmitJob,
     TaskSpec,
 )
 
 CALL_TIMEOUT = timedelta(seconds=6)
 ANSWER_LIMIT = timedelta(seconds=12)
-RETRY_DELAY = timedelta(milliseconds=200)
 
 JobRequest = SubmitJob | CancelJob | DescribeJob | AcknowledgeJob
-OWNER_CHANGES = frozenset(
-    {
-        ErrorKind.NOT_OWNER,
-        ErrorKind.NO_OWNER,
-        ErrorKind.UNREACHABLE,
-        ErrorKind.CALL_TIMEOUT,
-        ErrorKind.STALE_EPOCH,
-    }
-)
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,16 +79,12 @@
     def __init__(
         self,
         settings: Settings,
-        owners: OwnersState,
         lists: ListsState,
-        peers: Peers,
-        clock: Clock,
+        route: OwnerRoute,
     ) -> None:
         self._settings = settings
-        self._owners = owners
         self._lists = lists
-        self._peers = peers
-        self._clock = clock
+        self._route = route
 
     async def route(self, message: JobRequest) -> Result[JobReply, Problem]:
         """Return the owner's reply; repeating is safe for every message on jobs."""
@@ -121,29 +105,13 @@
             return Failure(
                 Problem(ErrorKind.NOT_FOUND, detail, "path", "<partition>-<random>")
             )
-        deadline = self._clock.monotonic() + ANSWER_LIMIT
-        may_have_run = False
-        last = Problem(
-            ErrorKind.NO_OWNER,
-            f"partition {partition} has no owner",
-            retry_after=timedelta(seconds=1),
+        return await self._route.call(
+            partition,
+            ANSWER_LIMIT,
+            lambda _: message,
+            lambda remaining: min(remaining, CALL_TIMEOUT),
+            _check_reply,
         )
-        while self._clock.monotonic() < deadline:
-            owner = self._owners.find_owner(partition)
-            if owner is not None and not owner.released:
-                reply = await self._peers.call(owner.address, message, CALL_TIMEOUT)
-                match reply:
-                    case Success(JobReply() as answer):
-                        return Success(answer)
-                    case Failure(problem):
-                        last = problem
-                may_have_run = may_have_run or not was_not_run(last.kind)
-                if last.kind not in OWNER_CHANGES:
-                    break
-            await self._clock.sleep(RETRY_DELAY)
-        if may_have_run and was_not_run(last.kind):
-            return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, last.detail))
-        return Failure(last)
 
     def _find_partition(self, message: JobRequest) -> int | None:
         cluster = self._settings.cluster
@@ -152,3 +120,10 @@
                 return find_partition(message.customer, cluster)
             case _:
                 return find_job_partition(message.job, cluster)
+
+
+def _check_reply(message: Message) -> Result[JobReply, Problem]:
+    if isinstance(message, JobReply):
+        return Success(message)
+    detail = f"unexpected reply {type(message).__name__}"
+    return Failure(Problem(ErrorKind.INVALID_MESSAGE, detail))
--- a/src/egretcrank/entry/requests.py
+++ b/src/egretcrank/entry/requests.py
@@ -9,12 +9,12 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.clock import Clock
-from egretcrank.errors.answers import was_not_run
+from egretcrank.entry.owners import OwnerRoute
+from egretcrank.errors.answers import doubt_not_run, was_not_run
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.observability.decisions import Decision, DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.partitions import find_partition
-from egretcrank.ownership.state import OwnersState
 from egretcrank.routing.budget import RetryBudget
 from egretcrank.routing.outliers import Outliers
 from egretcrank.routing.selection import Choice, Selector
@@ -22,7 +22,6 @@
 from egretcrank.transport.client import Peers
 from egretcrank.wire.messages import Execute, Executed, Member, MemberStatus, Submit
 
-RETRY_DELAY = timedelta(milliseconds=100)
 EJECTION_SUBJECT = "host:{}"
 # A member whose last announcement is older has missed one.
 SILENT_INTERVALS = 1.5
@@ -41,7 +40,7 @@
     def __init__(
         self,
         settings: Settings,
-        owners: OwnersState,
+        route: OwnerRoute,
         members: Callable[[], Sequence[MemberStatus]],
         peers: Peers,
         clock: Clock,
@@ -50,7 +49,7 @@
         generator: random.Random,
     ) -> None:
         self._settings = settings
-        self._owners = owners
+        self._route = route
         self._members = members
         self._peers = peers
         self._clock = clock
@@ -90,6 +89,7 @@
         """Run a repeatable request, on another host after a failure."""
         deadline = self._clock.monotonic() + timedelta(seconds=request.timeout_seconds)
         tried: set[str] = set()
+        may_have_run = False
         last = Problem(
             ErrorKind.NO_UPSTREAM,
             f"no member answers {request.service!r}",
@@ -98,10 +98,10 @@
         while (remaining := deadline - self._clock.monotonic()) > timedelta(0):
             choice = self._choose(request.service, tried)
             if choice is None:
-                return Failure(last)
+                break
             if tried and not self._budget.take():
                 self._record_no_retry(request.request_id, last)
-                return Failure(last)
+                break
             self._record(request.request_id, choice, len(tried) + 1, last)
             tried.add(choice.member.host)
             outcome = await self._send(request, choice, remaining)
@@ -109,7 +109,8 @@
                 self._budget.record_success()
                 return outcome
             last = outcome.failure()
-        return Failure(last)
+            may_have_run = may_have_run or not was_not_run(last.kind)
+        return Failure(doubt_not_run(last, may_have_run))
 
     def _choose(self, service: str, tried: set[str]) -> Choice | None:
         members = self._members()
@@ -149,35 +150,13 @@
     async def _submit(self, submit: Submit) -> Outcome:
         """Hand a key to its owner; repeating that is safe, because the key is."""
         partition = find_partition(submit.key, self._settings.cluster)
-        timeout = timedelta(seconds=submit.request.timeout_seconds)
-        deadline = self._clock.monotonic() + timeout
-        may_have_run = False
-        last = Problem(
-            ErrorKind.NO_OWNER,
-            f"partition {partition} has no owner",
-            retry_after=timedelta(seconds=1),
+        return await self._route.call(
+            partition,
+            timedelta(seconds=submit.request.timeout_seconds),
+            lambda left: Submit(submit.key, _limit_time(submit.request, left)),
+            lambda left: left + SUBMIT_REPLY_MARGIN,
+            lambda answer: check_answer(answer, submit.request.request_id),
         )
-        while (remaining := deadline - self._clock.monotonic()) > timedelta(0):
-            owner = self._owners.find_owner(partition)
-            if owner is not None and not owner.released:
-                message = Submit(submit.key, _limit_time(submit.request, remaining))
-                reply = await self._peers.call(
-                    owner.address, message, remaining + SUBMIT_REPLY_MARGIN
-                )
-                outcome = reply.bind(
-                    lambda answer: check_answer(answer, submit.request.request_id)
-                )
-                if isinstance(outcome, Success):
-                    return outcome
-                last = outcome.failure()
-                may_have_run = may_have_run or not was_not_run(last.kind)
-                if last.kind not in _OWNER_CHANGES:
-                    break
-            await self._clock.sleep(RETRY_DELAY)
-        if may_have_run and was_not_run(last.kind):
-            # An earlier owner got the key and did not answer.
-            return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, last.detail, submit.key))
-        return Failure(last)
 
     def _record(
         self, request_id: str, choice: Choice, attempt: int, last: Problem
@@ -222,15 +201,6 @@
 
 
 _TIME_OUTS = frozenset({ErrorKind.CALL_TIMEOUT, ErrorKind.UPSTREAM_FAILED})
-_OWNER_CHANGES = frozenset(
-    {
-        ErrorKind.NOT_OWNER,
-        ErrorKind.NO_OWNER,
-        ErrorKind.UNREACHABLE,
-        ErrorKind.CALL_TIMEOUT,
-        ErrorKind.STALE_EPOCH,
-    }
-)
 
 
 def check_answer(answer: object, request_id: str) -> Outcome:
--- a/src/egretcrank/errors/answers.py
+++ b/src/egretcrank/errors/answers.py
@@ -77,6 +77,14 @@
     return ANSWERS[kind].ran is Ran.NO
 
 
+def doubt_not_run(problem: Problem, may_have_run: bool) -> Problem:
+    """Replace a problem that would say not run after an attempt that may have run."""
+    if may_have_run and was_not_run(problem.kind):
+        detail = f"an earlier attempt may have run; the last one: {problem.detail}"
+        return Problem(ErrorKind.OUTCOME_UNKNOWN, detail, problem.where)
+    return problem
+
+
 def build_error_body(problem: Problem, request_id: str) -> ErrorBody:
     """Build the JSON body that reports ``problem`` to a caller."""
     return ErrorBody(
