--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -13,6 +13,7 @@
 from egretcrank.ownership.state import OwnersState
 from egretcrank.settings.parser import parse_settings
 from egretcrank.stream.records import OwnerClaim
+from egretcrank.transport.client import Peers
 from egretcrank.wire.messages import Execute, Member, MemberStatus, Submit
 from tests.cases import AsyncTestCase
 from tests.test_settings import GOOD
@@ -25,7 +26,7 @@
 NOT_OWNER = Failure(Problem(ErrorKind.NOT_OWNER, "moved"))
 
 
-class ScriptedPeers:
+class ScriptedPeers(Peers):
     """Replies to calls in the order given, and then with the last reply."""
 
     def __init__(self, *replies):
