--- a/bench/prove/points.py
+++ b/bench/prove/points.py
@@ -6,9 +6,8 @@
 
 from bench.prove.history import Call, Departure, History
 
-# Requests that a leaving host had accepted wait for a slot for a few service times. The
-# time is shorter than the least time that a sidecar takes to leave in these runs, or the
-# check could never fail.
+# Requests that a leaving host had accepted wait for a slot for a few service times.
+# This is less than a sidecar takes to leave in these runs, or the check could not fail.
 LEAVING_SECONDS = 1.5
 
 
