--- a/tests/test_key_owner.py
+++ b/tests/test_key_owner.py
@@ -189,6 +189,8 @@
 
         async def scenario(world):
             key = world.build_key()
+            # The takeover has to be complete before held keys are served.
+            await asyncio.sleep(20)
             world.log.set_faults(outage="unavailable")
             outcome = await self.submit(world, world.first, key, "photo")
             self.assertIsInstance(outcome, Success)
