Choose an incarnation above the known one; weigh requests by plan

Cause: a host whose clock went back was ignored by the entries until the clock had caught up, and all customers had the same weight. Change: a sidecar asks the entries for its last incarnation before it starts and leaves if a newer one is known; entry and executor take weights from the lists.

--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -23,7 +23,7 @@
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.state import OwnersState
-from egretcrank.routing.admission import Admission
+from egretcrank.routing.admission import Admission, Weight
 from egretcrank.settings.schema import Settings
 from egretcrank.stream.client import HttpLogClient
 from egretcrank.stream.exchange import StateExchange, answer_fetch
@@ -130,7 +130,7 @@
                 self._settings.entry,
                 self,
                 self._bridge,
-                build_admission(self._settings),
+                build_admission(self._settings, self._lists.find_request_share),
             ),
         )
         http.prepare()
@@ -304,7 +304,7 @@
                 )
 
 
-def build_admission(settings: Settings) -> Admission:
+def build_admission(settings: Settings, weight: Weight) -> Admission:
     """Build the limit of requests in flight.
 
     Each request in flight holds a thread, so some threads are kept free to refuse
@@ -312,7 +312,7 @@
     """
     threads = settings.entry.threads
     usable = max(1, threads - max(1, threads // SPARE_THREADS))
-    return Admission(min(settings.entry.max_in_flight, usable))
+    return Admission(min(settings.entry.max_in_flight, usable), weight)
 
 
 def run_entry(settings: Settings) -> None:
--- a/src/egretcrank/lists/state.py
+++ b/src/egretcrank/lists/state.py
@@ -145,6 +145,14 @@
         entry = self._entries.get(f"{ALLOWANCES}/{plan}")
         return entry if isinstance(entry, Allowance) else Allowance(plan)
 
+    def find_request_share(self, name: str) -> float:
+        """Return the weight of a customer's requests; an unknown name has weight 1.
+
+        HTTP threads call this beside the event loop; it reads each table once.
+        """
+        customer = self._customers.get(name)
+        return self.find_allowance(customer.plan).request_share if customer else 1.0
+
     def apply(self, offset: int, record: Record) -> Verdict:
         """Apply a change as a whole.
 
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -4,7 +4,6 @@
 import logging
 import random
 import signal
-import time
 from datetime import timedelta
 from typing import TypeVar
 
@@ -17,7 +16,7 @@
 from egretcrank.host.upstream import HttpUpstreamClient
 from egretcrank.host.worker import HttpWorkerClient
 from egretcrank.lists.state import ListsState
-from egretcrank.membership.announcer import Announcer
+from egretcrank.membership.announcer import Announcer, choose_incarnation
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.shards import Shards
@@ -76,6 +75,7 @@
 LOG_THREADS = 16
 WORKER_THREADS = 4
 EVENTS_TIMEOUT = timedelta(seconds=2)
+MICROSECONDS_PER_SECOND = 1_000_000
 LEAVE_POLL = timedelta(milliseconds=50)
 
 MessageT = TypeVar("MessageT", bound=Message)
@@ -86,10 +86,10 @@
 class Sidecar:
     """Wires the parts of a sidecar and answers its messages."""
 
-    def __init__(self, settings: Settings, clock: Clock) -> None:
+    def __init__(self, settings: Settings, clock: Clock, incarnation: int) -> None:
         self._settings = settings
         self._clock = clock
-        self._incarnation = time.time_ns() // 1000
+        self._incarnation = incarnation
         self._metrics = Metrics()
         self._traffic = Traffic()
         self._decisions = DecisionLog(clock)
@@ -133,6 +133,7 @@
             clock,
             self._metrics,
             self._may_hold,
+            self._lists.find_request_share,
         )
         self._tasks = self._build_task_host()
         self._jobs = OwnedJobs(
@@ -270,6 +271,7 @@
                 )
             ),
             asyncio.create_task(self._announcer.run()),
+            asyncio.create_task(self._watch_incarnation()),
             asyncio.create_task(self._claimant.run()),
         ]
         if self._tasks is not None:
@@ -293,6 +295,12 @@
         self._worker_threads.close()
         logger.info("sidecar stopped")
 
+    async def _watch_incarnation(self) -> None:
+        """Leave if another process runs in the place of this one."""
+        while not self._announcer.newer_incarnation:
+            await self._clock.sleep(self._settings.cluster.announce_seconds)
+        self._stop.set()
+
     async def _leave(self, requests: Server) -> None:
         """Tell the entries, refuse new work, and wait for work in flight."""
         started = self._clock.monotonic()
@@ -469,6 +477,13 @@
     """Run a sidecar until it is told to stop."""
 
     async def start() -> None:
-        await Sidecar(settings, SystemClock()).run()
+        clock = SystemClock()
+        peers = Peers(settings.process.name, clock)
+        started = int(clock.now().timestamp() * MICROSECONDS_PER_SECOND)
+        incarnation = await choose_incarnation(
+            settings.process.name, started, settings.cluster, peers
+        )
+        await peers.close()
+        await Sidecar(settings, clock, incarnation).run()
 
     asyncio.run(start())
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -88,7 +88,7 @@
         """Guards against a former owner whose successor's fence was lost."""
 
         async def scenario():
-            sidecar = Sidecar(self.settings, SystemClock())
+            sidecar = Sidecar(self.settings, SystemClock(), 1)
             majority = Mock(return_value=True)
             self.patch(sidecar._announcer, "reaches_majority", majority)
             answers = [sidecar._may_hold(0, 1)]
@@ -109,7 +109,7 @@
 
         async def scenario():
             clock = ManualClock()
-            sidecar = Sidecar(self.settings, clock)
+            sidecar = Sidecar(self.settings, clock, 1)
             self.patch(sidecar._announcer, "announce_now", AsyncMock())
             leave = asyncio.ensure_future(sidecar._leave(Mock(busy=0)))
             started = clock.monotonic()
