Prove batch work under faults

The prove command checked requests only. It now also submits, repeats, cancels and describes jobs while the faults run, follows each job to its end afterwards, and checks capacity, single-run, resume-once and nothing-lost from the histories of all workers and the replies. The history of the worker stand-in notes the checkpoint of an ended attempt, which the check of tasks that must not repeat needs.

--- a/bench/prove/__main__.py
+++ b/bench/prove/__main__.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from bench.cluster import Layout
+from bench.prove.batch import BatchWorkload, check_batch, collect_histories, write_batch
 from bench.prove.callers import Callers
 from bench.prove.faults import Injector, ProvedCluster
 from bench.prove.history import History, read_journal
@@ -21,6 +22,11 @@
 # Start, the answers of the last calls and the end of all processes.
 RESERVED_SECONDS = 45.0
 LEAST_FAULT_SECONDS = 10.0
+# Jobs end after takeovers, sessions, leases and the work that waits by then.
+MOST_JOB_SECONDS = 60.0
+# A start that is on its way when a cancellation is answered may still happen within a
+# session and a lease.
+GRACE_SECONDS = 10.0
 # Limits below the defaults, so that more takeovers fit into a run.
 CLUSTER = {
     "announce_seconds": "0.5",
@@ -28,6 +34,7 @@
     "dead_seconds": "3",
     "session_seconds": "3",
     "takeover_delay_seconds": "0.5",
+    "lease_seconds": "5",
 }
 
 
@@ -50,14 +57,20 @@
     injector = Injector(cluster, options.seed)
     entries = {name: http for name, _, _, http in cluster.entries}
     callers = Callers(entries, options.seed, CALLER_THREADS)
+    batch = BatchWorkload(list(entries.values()), options.seed)
     try:
         cluster.route_through_forwarder()
         cluster.start()
         callers.start()
+        batch.start()
         used = time.monotonic() - started
-        seconds = options.seconds - RESERVED_SECONDS - used
+        seconds = options.seconds - RESERVED_SECONDS - MOST_JOB_SECONDS - used
         injector.run(max(LEAST_FAULT_SECONDS, seconds))
+        batch.finish(time.monotonic() + MOST_JOB_SECONDS)
+        time.sleep(GRACE_SECONDS)
+        workers = collect_histories(cluster)
     finally:
+        batch.stop()
         calls = callers.stop()
         cluster.stop()
     history = History(calls, [], injector.departures)
@@ -67,7 +80,10 @@
     history.write(directory / "history.json")
     timeline = "\n".join(f"{at:.3f} {text}" for at, text in injector.timeline)
     (directory / "faults.txt").write_text(timeline + "\n", encoding="utf-8")
-    return report(check_all(history), injector.counts, history, directory)
+    write_batch(directory / "batch.json", batch.jobs, workers)
+    points = check_all(history) | check_batch(batch.jobs, workers, GRACE_SECONDS)
+    print("job answers", *(f"{k}={v}" for k, v in sorted(batch.answers.items())))
+    return report(points, injector.counts, history, directory)
 
 
 def report(
--- a/bench/standins/worker.py
+++ b/bench/standins/worker.py
@@ -55,6 +55,7 @@
     attempt: int
     state: str
     resources: Resources
+    checkpoint: str = ""
 
 
 class _Running(msgspec.Struct):
@@ -245,7 +246,9 @@
 
     def _note(self, at: float, task: WorkerTask, state: str) -> None:
         self.history.append(
-            HistoryEvent(at, task.task, task.attempt, state, task.resources)
+            HistoryEvent(
+                at, task.task, task.attempt, state, task.resources, task.checkpoint
+            )
         )
 
     def _measure(self, now: float) -> None:
