--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -5,7 +5,6 @@
 """
 
 import argparse
-import itertools
 import json
 import random
 import signal
@@ -25,11 +24,7 @@
 POLL_SECONDS = 0.1
 # Below the ports that Linux gives to outgoing connections, which otherwise take the
 # port of a process before it starts or while it is down.
-PORTS = range(10000, 32000)
-# Each port is given out once, from a random start so that runs side by side differ.
-_ports = itertools.islice(
-    itertools.cycle(PORTS), random.SystemRandom().randrange(len(PORTS)), None
-)
+PORTS = (10000, 32000)
 
 
 class Layout(NamedTuple):
@@ -260,7 +255,7 @@
 def find_address() -> str:
     """Return a loopback address with a port that was free just now."""
     while True:
-        port = next(_ports)
+        port = random.SystemRandom().randint(*PORTS)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
