--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import itertools
 import json
 import random
 import signal
@@ -24,7 +25,11 @@
 POLL_SECONDS = 0.1
 # Below the ports that Linux gives to outgoing connections, which otherwise take the
 # port of a process before it starts or while it is down.
-PORTS = (10000, 32000)
+PORTS = range(10000, 32000)
+# Each port is given out once, from a random start so that runs side by side differ.
+_ports = itertools.islice(
+    itertools.cycle(PORTS), random.SystemRandom().randrange(len(PORTS)), None
+)
 
 
 class Layout(NamedTuple):
@@ -255,7 +260,7 @@
 def find_address() -> str:
     """Return a loopback address with a port that was free just now."""
     while True:
-        port = random.SystemRandom().randint(*PORTS)
+        port = next(_ports)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
