Show work by plan in the status; let owners without work make fewer passes

Each owner summarizes its jobs into its process status. An entry asks the owners on /status, at most 256 of them, 16 at a time and for 2 s in all, and reports how many did not answer.

Cause: the owner of each partition made a pass every 0.25 s with nothing to do. Change: a pass each second without tasks, placements, orphans or a takeover; messages wake the owner as before.

--- a/src/egretcrank/cli/operations.py
+++ b/src/egretcrank/cli/operations.py
@@ -125,6 +125,8 @@
         f"{counts.get('waiting', 0)} waiting"
         for plan, counts in sorted(work.get("plans", {}).items())
     ]
+    if missing := work.get("missing"):
+        lines.append(f"work is incomplete: {missing} owners did not answer in time")
     oldest = work.get("oldest_waiting")
     if oldest:
         lines.append(
--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -16,8 +16,9 @@
 from egretcrank.entry.jobs import JobRequest, JobRouter
 from egretcrank.entry.requests import RequestRouter
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.jobs.summary import WorkSummary, combine, read_document
 from egretcrank.lists.state import ListsState
-from egretcrank.membership.directory import Directory
+from egretcrank.membership.directory import ALIVE, Directory
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.state import OwnersState
@@ -48,6 +49,11 @@
 CONTROL_CONTEXTS = 32
 LOG_THREADS = 8
 DESCRIBE_TIMEOUT = timedelta(seconds=2)
+# Bounds of one status: owners asked at most, at a time, and the time for all of them.
+# Processes without an answer are counted as missing.
+WORK_OWNERS = 256
+WORK_CALLS = 16
+WORK_LIMIT = timedelta(seconds=2)
 DRAIN_POLL = timedelta(milliseconds=50)
 
 logger = logging.getLogger(__name__)
@@ -193,7 +199,40 @@
         return await self._jobs.route(message)
 
     async def describe_status(self) -> dict[str, Any]:
-        """Return the status document of this entry and its members."""
+        """Return the status document of this entry, its members and their work."""
+        return {**self._describe_own(), "work": await self._collect_work()}
+
+    async def _collect_work(self) -> dict[str, Any]:
+        """Ask the owners for their work, with bounds on calls and time."""
+        owners = {
+            status.member.control_address
+            for status in self._directory.list_members()
+            if status.liveness == ALIVE and status.member.partitions
+        }
+        asked = sorted(owners)[:WORK_OWNERS]
+        free = asyncio.Semaphore(WORK_CALLS)
+        found: list[WorkSummary] = []
+
+        async def ask(address: str) -> None:
+            async with free:
+                reply = await self._peers.call(
+                    address, DescribeProcess(), DESCRIBE_TIMEOUT
+                )
+            match reply.value_or(None):
+                case ProcessStatus(document=document):
+                    summary = read_document(document.get("work", {}))
+                    if summary is not None:
+                        found.append(summary)
+
+        calls = [asyncio.create_task(ask(address)) for address in asked]
+        if calls:
+            await asyncio.wait(calls, timeout=WORK_LIMIT.total_seconds())
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+        return {**combine(found).build_document(), "missing": len(owners) - len(found)}
+
+    def _describe_own(self) -> dict[str, Any]:
         members = self._directory.list_members()
         position = self._owners_reader.position
         return {
@@ -275,7 +314,7 @@
                 self._stop.set()
                 return Acknowledged()
             case DescribeProcess():
-                document = await self.describe_status()
+                document = self._describe_own()
                 return ProcessStatus(self._settings.process.name, "entry", document)
             case Explain(subject):
                 return Explanation(
--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -29,6 +29,7 @@
     split_task_id,
 )
 from egretcrank.jobs.state import JobsState
+from egretcrank.jobs.summary import FindPlan, WaitingSummary, WorkSummary
 from egretcrank.observability.decisions import Decision, DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.settings.schema import Settings
@@ -68,6 +69,9 @@
 )
 
 PASS_INTERVAL = timedelta(seconds=0.25)
+# Submissions and reports wake an owner without work. It still makes passes, because a
+# record can be folded after its append was given up.
+IDLE_PASS_INTERVAL = timedelta(seconds=1)
 # A pass waits for its calls, and urgent tasks wait for the pass.
 CALL_TIMEOUT = timedelta(seconds=1)
 # Sessions are renewed this many times within their length.
@@ -242,7 +246,8 @@
         """Place and supervise tasks until cancelled."""
         while True:
             await self.step()
-            timer = asyncio.ensure_future(self._clock.sleep(PASS_INTERVAL))
+            interval = PASS_INTERVAL if self._has_work() else IDLE_PASS_INTERVAL
+            timer = asyncio.ensure_future(self._clock.sleep(interval))
             wake = asyncio.ensure_future(self._wake.wait())
             try:
                 await asyncio.wait({timer, wake}, return_when=asyncio.FIRST_COMPLETED)
@@ -251,6 +256,14 @@
                 wake.cancel()
             self._wake.clear()
 
+    def _has_work(self) -> bool:
+        """Tell whether a task has not ended or a host is still asked for its tasks."""
+        if self._placements or self._orphans:
+            return True
+        if self._clock.monotonic() < self._takeover_until:
+            return True
+        return any(not job.has_ended for job in self._state.jobs.values())
+
     async def step(self) -> None:
         """Make one pass over sessions, placements and waiting tasks."""
         if not self._can_act():
@@ -384,6 +397,23 @@
             JobReply(job, status, state.spec.customer, state.spec.kind, tasks)
         )
 
+    def summarize_work(self, find_plan: FindPlan) -> WorkSummary:
+        """Summarize the tasks of this partition that have not ended."""
+        summary = WorkSummary()
+        now = self._clock.now().timestamp()
+        for job, task in self._list_active():
+            name = build_task_id(job.job, task.name)
+            plan = find_plan(job.spec.customer)
+            if name in self._placements:
+                summary.count_running(plan)
+                continue
+            reason = self._waiting.get(name, task.reason) or "not placed yet"
+            waited = max(0.0, now - job.accepted_at)
+            summary.count_waiting(
+                plan, WaitingSummary(name, job.spec.customer, waited, reason)
+            )
+        return summary
+
     def _summarize(self, job: JobState, task: TaskState) -> TaskSummary:
         name = build_task_id(job.job, task.name)
         placement = self._placements.get(name)
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -423,6 +423,7 @@
                 "traffic": self._traffic.read()._asdict(),
                 "log_down": position.down,
                 "entries_heard": self._announcer.entries_heard,
+                "work": self._jobs.summarize_work().build_document(),
             },
         )
 
--- a/src/egretcrank/sidecar/jobs.py
+++ b/src/egretcrank/sidecar/jobs.py
@@ -17,6 +17,7 @@
     Placing,
     WaitingTask,
 )
+from egretcrank.jobs.summary import WorkSummary, combine
 from egretcrank.lists.state import ListsState
 from egretcrank.membership.directory import ALIVE
 from egretcrank.observability.decisions import DecisionLog
@@ -137,6 +138,17 @@
             if isinstance(result, Exception):
                 logger.error("job owner failed", extra={"error": repr(result)})
 
+    def summarize_work(self) -> WorkSummary:
+        """Summarize the work of all owners of this process."""
+        return combine(
+            item.owner.summarize_work(self._find_plan)
+            for item in self._running.values()
+        )
+
+    def _find_plan(self, customer: str) -> str:
+        found = self._lists.find_customer(customer).value_or(None)
+        return found.plan if found is not None and found.plan else "none"
+
     def _check_quota(
         self, customer: str, used: Resources, more: Resources
     ) -> str | None:
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -1,6 +1,15 @@
 """Tests of the operator commands' output."""
 
+from click.testing import CliRunner
+
+from egretcrank.cli.main import main
 from egretcrank.cli.operations import format_decision, format_status
+from egretcrank.jobs.summary import (
+    WaitingSummary,
+    WorkSummary,
+    combine,
+    read_document,
+)
 from tests.cases import AsyncTestCase
 
 STATUS = {
@@ -36,6 +45,31 @@
         self.assertIn("domain-0: 2 alive, 1 dead; 4 of 16 slots busy", lines)
         self.assertIn("log DOWN", lines[0])
 
+    def test_status_adds_work_of_owners(self):
+        """Guards against lost work of one owner, and a younger task shown as oldest."""
+        first, second = WorkSummary(), WorkSummary()
+        first.count_running("door")
+        first.count_waiting("door", WaitingSummary("1-a/t", "kf", 4.0, "full"))
+        second.count_waiting("door", WaitingSummary("2-b/t", "zv", 9.0, "quota"))
+        read = read_document(second.build_document())
+        assert read is not None
+        work = {**combine([first, read]).build_document(), "missing": 1}
+        lines = format_status({**STATUS, "work": work})
+        self.assertIn("plan door: 1 running, 2 waiting", lines)
+        self.assertIn("oldest waiting task: 2-b/t of zv for 9 s: quota", lines)
+        self.assertIn("work is incomplete: 1 owners did not answer in time", lines)
+        self.assertIsNone(read_document({"plans": 3}))
+
+    def test_completion_script_is_printed(self):
+        """Guards against a change of the program name that breaks completion."""
+        result = CliRunner().invoke(
+            main,
+            prog_name="egretcrank",
+            env={"_EGRETCRANK_COMPLETE": "bash_source"},
+        )
+        self.assertEqual(0, result.exit_code, result.output)
+        self.assertIn("complete -o nosort", result.output)
+
     def test_decision_shows_reason_and_alternatives(self):
         """Guards against an explanation without the reason."""
         text = format_decision(
