Split the owner of jobs by concern

Each concern is now a class in a module of its own; they share an OwnerContext. The constructor, the imports from jobs.owner and the behaviour are unchanged. The owner keeps the functions append and call itself, because tests replace them there.

--- /dev/null
+++ b/src/egretcrank/jobs/intake.py
@@ -0,0 +1,196 @@
+"""Messages of customers: submissions, cancellations, replies."""
+
+import math
+
+from returns.result import Failure, Result, Success
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.jobs.context import OwnerContext
+from egretcrank.jobs.interfaces import Reply
+from egretcrank.jobs.model import JobState, Repeat, TaskState, build_task_id
+from egretcrank.stream.records import JobAccepted, JobAcknowledged, JobCancelled
+from egretcrank.wire.messages import (
+    AcknowledgeJob,
+    CancelJob,
+    JobReply,
+    SubmitJob,
+    TaskSummary,
+)
+
+
+class JobIntake:
+    """Accepts, cancels and describes the jobs of a partition."""
+
+    def __init__(self, context: OwnerContext) -> None:
+        self._context = context
+
+    async def submit(self, message: SubmitJob) -> Reply:
+        """Accept a job once under its key."""
+        problem = _check_submission(message)
+        if problem is not None:
+            self._context.metrics.refusals.inc(
+                {"source": "jobs", "kind": problem.kind.value}
+            )
+            return Failure(problem)
+        if found := self._find_submitted(message):
+            return found
+        if not self._context.can_act():
+            return Failure(self._context.describe_not_acting())
+        job = f"{self._context.partition}-{self._context.build_id()}"
+        record = JobAccepted(
+            self._context.partition,
+            self._context.epoch,
+            job,
+            message,
+            self._context.clock.now().timestamp(),
+        )
+        verdict = await self._context.append(record)
+        if found := self._find_submitted(message):
+            self._context.accepted_here.add(job)
+            self._context.wake.set()
+            return found
+        return Failure(_describe_unrecorded(verdict, message.key))
+
+    def _find_submitted(self, message: SubmitJob) -> Reply | None:
+        job = self._context.state.find_submission(message.customer, message.key)
+        if job is None:
+            return None
+        state = self._context.state.jobs.get(job)
+        if state is None:
+            return Success(JobReply(job, "acknowledged", message.customer))
+        if state.spec != message:
+            return Failure(
+                Problem(
+                    ErrorKind.KEY_REUSED,
+                    f"key {message.key!r} was used for another job",
+                    "Idempotency-Key",
+                    "a new key for each job",
+                )
+            )
+        return self.describe(job)
+
+    async def cancel(self, message: CancelJob) -> Reply:
+        """End all active tasks of a job as cancelled."""
+        job = self._context.state.jobs.get(message.job)
+        if job is None or job.has_ended:
+            return self.describe(message.job)
+        if not self._context.can_act():
+            return Failure(self._context.describe_not_acting())
+        record = JobCancelled(self._context.partition, self._context.epoch, message.job)
+        verdict = await self._context.append(record)
+        job = self._context.state.jobs.get(message.job)
+        if job is not None and not job.has_ended:
+            return Failure(_describe_unrecorded(verdict, message.job))
+        self._context.wake.set()
+        return self.describe(message.job)
+
+    async def acknowledge(self, message: AcknowledgeJob) -> Reply:
+        """Drop a job that has ended."""
+        job = self._context.state.jobs.get(message.job)
+        if job is None:
+            return self.describe(message.job)
+        if not job.has_ended:
+            return Failure(
+                Problem(
+                    ErrorKind.BAD_REQUEST,
+                    "the job has not ended",
+                    message.job,
+                    "a job whose tasks have all ended",
+                )
+            )
+        if not self._context.can_act():
+            return Failure(self._context.describe_not_acting())
+        record = JobAcknowledged(
+            self._context.partition, self._context.epoch, message.job
+        )
+        verdict = await self._context.append(record)
+        if message.job in self._context.state.jobs:
+            return Failure(_describe_unrecorded(verdict, message.job))
+        return self.describe(message.job)
+
+    def describe(self, job: str) -> Reply:
+        """Return the state of a job and its tasks."""
+        state = self._context.state.jobs.get(job)
+        if state is None:
+            if self._context.state.is_acknowledged(job):
+                return Success(JobReply(job, "acknowledged"))
+            return Failure(
+                Problem(ErrorKind.NOT_FOUND, f"job {job!r} is not known", "job")
+            )
+        tasks = tuple(self._summarize(state, task) for task in state.tasks.values())
+        if state.cancelled:
+            status = "cancelled"
+        elif state.has_ended:
+            status = "ended"
+        elif any(task.state == "running" for task in tasks):
+            status = "running"
+        else:
+            status = "accepted"
+        return Success(
+            JobReply(job, status, state.spec.customer, state.spec.kind, tasks)
+        )
+
+    def _summarize(self, job: JobState, task: TaskState) -> TaskSummary:
+        name = build_task_id(job.job, task.name)
+        placement = self._context.placements.get(name)
+        host = placement.host if placement else ""
+        if task.ending is not None:
+            return TaskSummary(
+                task.name, task.ending, task.attempt, host, task.reason, task.result
+            )
+        if placement is None:
+            reason = self._context.waiting.get(name, task.reason)
+            return TaskSummary(task.name, "waiting", task.attempt, "", reason)
+        status = "running" if placement.confirmed else "starting"
+        return TaskSummary(task.name, status, task.attempt, host)
+
+
+def _check_submission(message: SubmitJob) -> Problem | None:
+    if not message.key:
+        return Problem(
+            ErrorKind.KEY_REQUIRED, "the key is missing", "Idempotency-Key", "a key"
+        )
+    if message.repeat not in set(Repeat):
+        expected = " or ".join(Repeat)
+        return _report_bad(
+            f"repeat {message.repeat!r} is not valid", "repeat", expected
+        )
+    names = [task.name for task in message.tasks]
+    if not names or len(set(names)) != len(names) or "" in names:
+        return _report_bad(
+            "task names repeat or are missing", "tasks", "a unique name for each task"
+        )
+    for task in message.tasks:
+        amounts = (
+            task.resources.processors,
+            task.resources.memory_mib,
+            task.resources.accelerators,
+            task.run_seconds,
+        )
+        if not all(math.isfinite(amount) and amount >= 0 for amount in amounts):
+            return _report_bad(
+                f"resources or run time of {task.name!r} are not valid",
+                f"tasks.{task.name}",
+                "finite numbers of at least 0",
+            )
+    return None
+
+
+def _report_bad(detail: str, where: str, expected: str) -> Problem:
+    return Problem(ErrorKind.BAD_REQUEST, detail, where, expected)
+
+
+def _describe_unrecorded(verdict: Result[None, Problem], where: str) -> Problem:
+    """Report a record that was not read back; it may still land in the log."""
+    match verdict:
+        case Failure(Problem() as problem) if (
+            problem.kind is not ErrorKind.LOG_UNAVAILABLE
+        ):
+            return problem
+        case _:
+            return Problem(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the log did not confirm the record in time",
+                where,
+                "a repeat of the same request",
+            )
--- /dev/null
+++ b/src/egretcrank/jobs/placing.py
@@ -0,0 +1,180 @@
+"""Passes over tasks that wait for a host."""
+
+from datetime import timedelta
+
+from egretcrank.jobs.context import OwnerContext, run_bounded
+from egretcrank.jobs.interfaces import Placement, Placing, WaitingTask
+from egretcrank.jobs.model import (
+    Ending,
+    JobState,
+    Repeat,
+    TaskState,
+    add_resources,
+    build_task_id,
+    fits,
+)
+from egretcrank.jobs.orders import TaskOrders
+from egretcrank.jobs.reports import ReportRecorder
+from egretcrank.observability.decisions import Decision
+from egretcrank.wire.messages import Resources, TaskReport, TaskSpec
+
+# Keeps a pass from asking the same full host again at once.
+REFUSAL_PAUSE = timedelta(seconds=0.5)
+
+
+class TaskPlacer:
+    """Chooses hosts for waiting tasks."""
+
+    def __init__(
+        self, context: OwnerContext, orders: TaskOrders, reports: ReportRecorder
+    ) -> None:
+        self._context = context
+        self._orders = orders
+        self._reports = reports
+
+    async def place_waiting(self) -> None:
+        """Choose hosts for waiting tasks, urgent ones first, and start them."""
+        waiting = [
+            (job, task)
+            for job, task in self._context.list_active()
+            if build_task_id(job.job, task.name) not in self._context.placements
+            and task.intent is None
+            and self._may_place(job)
+        ]
+        waiting.sort(key=lambda pair: (not pair[0].spec.urgent, pair[0].accepted_at))
+        starts: list[tuple[str, Placement]] = []
+        stopping = {name for name, _ in self._context.orphans}
+        for job, task in waiting:
+            name = build_task_id(job.job, task.name)
+            if name in stopping:
+                self._context.wait(name, "a former attempt has not confirmed its stop")
+                continue
+            current = await self._close_former_attempt(job, task)
+            if current is None:
+                continue
+            spec = next(s for s in job.spec.tasks if s.name == task.name)
+            chosen = await self._choose(job, current, spec)
+            if chosen is not None:
+                self._context.placements[name] = chosen
+                self._context.waiting.pop(name, None)
+                starts.append((name, chosen))
+        await run_bounded(self._orders.start(name, p) for name, p in starts)
+
+    async def _close_former_attempt(
+        self, job: JobState, task: TaskState
+    ) -> TaskState | None:
+        """Give up an attempt that a former owner may have started.
+
+        Its leases have lapsed. A report that arrives later must not be mistaken for one
+        of an attempt of this owner, so the attempt number is not used again.
+        """
+        name = build_task_id(job.job, task.name)
+        if job.spec.repeat == Repeat.NEVER or name in self._context.closed:
+            return task
+        if self._context.epoch > 1 and job.job not in self._context.accepted_here:
+            report = TaskReport(task=name, attempt=task.attempt)
+            await self._reports.evict_recorded(report, "not reported after a takeover")
+            changed = self._context.state.find_task(job.job, task.name)
+            if changed is None or changed.attempt == task.attempt:
+                return None
+            task = changed
+        self._context.closed.add(name)
+        return task if task.ending is None else None
+
+    def _may_place(self, job: JobState) -> bool:
+        if job.job in self._context.accepted_here or job.spec.repeat == Repeat.NEVER:
+            return True
+        # A former owner may have started this task on a host that has not answered.
+        return self._context.clock.monotonic() >= self._context.takeover_until
+
+    async def _choose(
+        self, job: JobState, task: TaskState, spec: TaskSpec
+    ) -> Placement | None:
+        name = build_task_id(job.job, task.name)
+        members = [
+            status
+            for status in self._context.members()
+            if status.liveness == "alive" and status.member.state == "serving"
+        ]
+        if await self._report_infeasible(name, spec):
+            return None
+        candidates = [
+            status
+            for status in members
+            if fits(spec.resources, status.member.capacity)
+            and not self._is_refused(name, status.member.host)
+        ]
+        if not candidates:
+            self._context.wait(name, "no host in service can hold the task now")
+            return None
+        failed_on = {host for host, _ in self._context.failed_on.get(name, ())}
+        # A task that failed on one host tells more if it is tried on another.
+        candidates = [
+            s for s in candidates if s.member.host not in failed_on
+        ] or candidates
+        used = self._sum_usage(job.spec.customer)
+        if reason := self._context.check_quota(job.spec.customer, used, spec.resources):
+            self._context.wait(name, reason)
+            return None
+        waiting = WaitingTask(
+            name,
+            job.spec.customer,
+            job.spec.kind,
+            job.spec.urgent,
+            spec.resources,
+            spec.run_seconds,
+        )
+        choice = self._context.place(waiting, candidates, self._context.list_placed())
+        await self._make_room(choice)
+        if choice.host is None:
+            self._context.wait(name, choice.reason)
+            return None
+        inputs = {"resources": str(spec.resources), "attempt": task.attempt}
+        self._context.decisions.record(
+            Decision(
+                name, "place", choice.host, choice.reason, choice.alternatives, inputs
+            )
+        )
+        member = next(s.member for s in candidates if s.member.host == choice.host)
+        return Placement(member.host, member.incarnation, task.attempt)
+
+    def _is_refused(self, name: str, host: str) -> bool:
+        """Tell whether a host refused a task just now."""
+        refused_at = self._context.refused_at.get((name, host))
+        if refused_at is None:
+            return False
+        return self._context.clock.monotonic() < refused_at + REFUSAL_PAUSE
+
+    async def _report_infeasible(self, name: str, spec: TaskSpec) -> bool:
+        """End a task that no known host could hold for a settled time."""
+        known = [status.member.capacity for status in self._context.members()]
+        if not known or any(fits(spec.resources, capacity) for capacity in known):
+            self._context.infeasible.pop(name, None)
+            return False
+        now = self._context.clock.monotonic()
+        since = self._context.infeasible.setdefault(name, now)
+        # Members of a host that is replaced are known again after this time.
+        if now - since < 2 * self._context.settings.cluster.dead_seconds:
+            self._context.wait(name, "no known host is large enough")
+            return True
+        largest = Resources(
+            max(c.processors for c in known),
+            max(c.memory_mib for c in known),
+            max(c.accelerators for c in known),
+        )
+        reason = f"needs {spec.resources}, but the largest hosts have {largest}"
+        await self._reports.end(name, Ending.CANNOT_RUN, reason)
+        return True
+
+    def _sum_usage(self, customer: str) -> Resources:
+        total = Resources()
+        for placed in self._context.list_placed():
+            if placed.customer == customer:
+                total = add_resources(total, placed.resources)
+        return total
+
+    async def _make_room(self, choice: Placing) -> None:
+        for name in choice.evict:
+            await self._orders.evict(name, choice.reason)
+        for name in choice.throttle:
+            await self._orders.throttle(name, choice.share, choice.reason)
--- /dev/null
+++ b/src/egretcrank/jobs/supervision.py
@@ -0,0 +1,88 @@
+"""Passes over attempts that were placed or may run."""
+
+from egretcrank.jobs.context import OwnerContext, run_bounded
+from egretcrank.jobs.model import Ending, build_task_id
+from egretcrank.jobs.orders import TaskOrders
+from egretcrank.jobs.reports import ReportRecorder
+
+
+class TaskSupervisor:
+    """Stops, recovers and confirms attempts."""
+
+    def __init__(
+        self, context: OwnerContext, orders: TaskOrders, reports: ReportRecorder
+    ) -> None:
+        self._context = context
+        self._orders = orders
+        self._reports = reports
+
+    async def stop_what_must_not_run(self) -> None:
+        """Stop attempts that are not current."""
+        stops = {
+            (name, placement.attempt): placement.host
+            for name, placement in self._context.placements.items()
+            if not self._context.is_current(name, placement.attempt)
+        }
+        stops |= self._context.orphans
+        await run_bounded(
+            self._orders.stop(host, name, attempt)
+            for (name, attempt), host in sorted(stops.items())
+        )
+
+    async def recover_lost(self) -> None:
+        """Give up attempts whose leases have lapsed without an answer."""
+        now = self._context.clock.monotonic()
+        for name, placement in list(self._context.placements.items()):
+            session = self._context.sessions.get(placement.host)
+            if session is None or now < session.heard_at + self._context.lapse_time():
+                continue
+            if not placement.sent:
+                self._orders.drop_unsent(name, placement, "host gave no session")
+                continue
+            await self._reports.lose(
+                name, placement, "host did not answer until leases lapsed"
+            )
+        for (name, attempt), host in list(self._context.orphans.items()):
+            session = self._context.sessions.get(host)
+            if session is None or now >= session.heard_at + self._context.lapse_time():
+                self._context.orphans.pop((name, attempt), None)
+
+    async def confirm_starts(self) -> None:
+        """Repeat starts that no report has confirmed."""
+        unconfirmed = [
+            (name, placement)
+            for name, placement in self._context.placements.items()
+            if not placement.confirmed
+            and self._context.is_current(name, placement.attempt)
+        ]
+        await run_bounded(
+            self._reports.record_not_started(name, p.attempt)
+            if p.refused
+            else self._orders.start(name, p)
+            for name, p in unconfirmed
+        )
+
+    async def resolve_intents(self) -> None:
+        """Find out about attempts that must not repeat and are not placed."""
+        for job, task in self._context.list_active():
+            name = build_task_id(job.job, task.name)
+            if task.intent is None or name in self._context.placements:
+                continue
+            intent = task.intent
+            since = self._context.unresolved.setdefault(
+                name, self._context.clock.monotonic()
+            )
+            session = self._context.sessions.get(intent.host)
+            if session is not None and session.incarnation == intent.incarnation:
+                await self._orders.stop(intent.host, name, intent.attempt)
+            waited = self._context.clock.monotonic() - since
+            restarted = session is not None and (
+                session.incarnation > intent.incarnation
+            )
+            if not restarted and waited < self._context.lapse_time():
+                continue
+            if self._context.is_current(name, intent.attempt) and (
+                name not in self._context.placements
+            ):
+                reason = f"host {intent.host} could not tell whether it ran"
+                await self._reports.end(name, Ending.UNKNOWN, reason)
