Count a task as running only once its host has confirmed the start

Cause: tasks sent to a full host and not yet refused were shown as running: 8 of 9 on two hosts that hold 2 each. Now 4 running and 5 waiting in the same trial.

--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -404,10 +404,14 @@
         for job, task in self._list_active():
             name = build_task_id(job.job, task.name)
             plan = find_plan(job.spec.customer)
-            if name in self._placements:
+            placement = self._placements.get(name)
+            if placement is not None and placement.confirmed:
                 summary.count_running(plan)
                 continue
-            reason = self._waiting.get(name, task.reason) or "not placed yet"
+            if placement is not None:
+                reason = f"{placement.host} has not confirmed the start"
+            else:
+                reason = self._waiting.get(name, task.reason) or "not placed yet"
             waited = max(0.0, now - job.accepted_at)
             summary.count_waiting(
                 plan, WaitingSummary(name, job.spec.customer, waited, reason)
--- a/src/egretcrank/jobs/summary.py
+++ b/src/egretcrank/jobs/summary.py
@@ -9,7 +9,7 @@
 
 
 class PlanCounts(TypedDict):
-    """Tasks of a plan; a task that is being started counts as running."""
+    """Tasks of a plan; a task that is being started counts as waiting."""
 
     running: int
     waiting: int
@@ -37,7 +37,7 @@
         self.oldest_waiting: WaitingSummary | None = None
 
     def count_running(self, plan: str) -> None:
-        """Count a task that is placed."""
+        """Count a task whose start its host has confirmed."""
         self._find_counts(plan)["running"] += 1
 
     def count_waiting(self, plan: str, task: WaitingSummary) -> None:
