Keep running tasks through a log outage; fence members twice

Cause: owners stop acting 3 s into a log outage, so every lease lapsed. Ruled out: letting hosts extend leases by themselves, because the owner could then no longer tell when a lease of a silent host has lapsed. Also, by reading: a successor that fenced from an incomplete member table (all entries just restarted) could miss a held attempt. Change: owners renew sessions during an outage and record nothing; a host without the log honours a renewal only while most entries answer and know of no later claim; a successor waits for that evidence to expire. Members are fenced again when the takeover is complete.

--- a/src/egretcrank/host/tasks.py
+++ b/src/egretcrank/host/tasks.py
@@ -44,6 +44,8 @@
 TaskMessage = StartTask | RenewSession | EvictTask | StopTask | ThrottleTask
 Reply = Result[Message, Problem]
 SendEvents = Callable[[TaskEvents], Awaitable[bool]]
+# Whether no later owner of a partition than the one of an epoch can have taken over.
+IsInForce = Callable[[int, int], bool]
 
 logger = logging.getLogger(__name__)
 
@@ -87,7 +89,9 @@
         decisions: DecisionLog,
         metrics: Metrics,
         send_events: SendEvents,
+        is_in_force: IsInForce = lambda partition, epoch: True,
     ) -> None:
+        self._is_in_force = is_in_force
         upstream = settings.upstream
         self.ledger = CapacityLedger(
             Resources(upstream.processors, upstream.memory_mib, upstream.accelerators)
@@ -217,6 +221,13 @@
                 self._host,
                 "a stamp of this session",
             )
+        if not self._is_in_force(session.partition, session.epoch):
+            return Problem(
+                ErrorKind.SESSION_ENDED,
+                "neither the log nor the entries confirm the owner",
+                self._host,
+                "the owner in force",
+            )
         known = self._stamps.get(session.partition, session.stamp)
         self._stamps[session.partition] = max(known, session.stamp)
         return None
--- a/src/egretcrank/jobs/context.py
+++ b/src/egretcrank/jobs/context.py
@@ -39,6 +39,8 @@
         place: PlaceTask,
         check_quota: CheckQuota,
         may_act: Callable[[], bool],
+        may_renew: Callable[[], bool],
+        await_majority: bool,
         clock: Clock,
         decisions: DecisionLog,
         metrics: Metrics,
@@ -55,6 +57,7 @@
         self.place = place
         self.check_quota = check_quota
         self.may_act = may_act
+        self.may_renew = may_renew
         self.clock = clock
         self.decisions = decisions
         self.metrics = metrics
@@ -72,17 +75,30 @@
         self.closed: set[str] = set()
         self.fenced = False
         self.accepted_here: set[str] = set()
-        outage = settings.log.outage_seconds
-        self.takeover_until = (
-            clock.monotonic() + outage + self.lapse_time()
-            if epoch > 1
-            else clock.monotonic()
-        )
+        self.takeover_until = clock.monotonic()
+        if epoch > 1 and await_majority:
+            self.takeover_until = timedelta.max
+        elif epoch > 1:
+            self.complete_takeover()
+
+    def complete_takeover(self) -> None:
+        """Note that no host renews leases for the former owner after an outage.
+
+        A host that reads the log may be behind by an outage and a poll; what it has
+        renewed until then lapses.
+        """
+        log = self.settings.log
+        wait = log.outage_seconds + log.poll_seconds + self.lapse_time()
+        self.takeover_until = self.clock.monotonic() + wait
 
     def can_act(self) -> bool:
         """Tell whether this owner may still send and record anything."""
         return not self.fenced and self.may_act()
 
+    def can_renew(self) -> bool:
+        """Tell whether sessions may be renewed while nothing can be recorded."""
+        return not self.fenced and self.may_renew()
+
     def describe_not_acting(self) -> Problem:
         """Return the problem of a message that comes while the owner may not act."""
         kind = ErrorKind.NOT_OWNER if self.fenced else ErrorKind.LOG_UNAVAILABLE
--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -63,7 +63,11 @@
     """Accepts jobs of a partition and has each task run to its one end.
 
     ``may_act`` must turn false when ownership was lost, and when the log has not been
-    read for longer than ``outage_seconds``: a successor counts on it.
+    read for longer than ``outage_seconds``. ``may_renew`` may stay true during a log
+    outage, so that tasks go on running: hosts honour a renewal then only while most
+    entries know of no later owner. With ``await_majority`` a successor starts nothing
+    that may still run elsewhere until ``complete_takeover`` was called and the leases
+    of that time have lapsed.
     """
 
     def __init__(
@@ -82,6 +86,8 @@
         metrics: Metrics,
         settings: Settings,
         build_id: Callable[[], str] = lambda: uuid4().hex,
+        may_renew: Callable[[], bool] = lambda: False,
+        await_majority: bool = False,
     ) -> None:
         self._append = append
         self._call = call
@@ -95,6 +101,8 @@
             place,
             check_quota,
             may_act,
+            may_renew,
+            await_majority,
             clock,
             decisions,
             metrics,
@@ -150,6 +158,8 @@
     async def step(self) -> None:
         """Make one pass over sessions, placements and waiting tasks."""
         if not self._context.can_act():
+            if self._context.can_renew():
+                await self._sessions.renew_sessions()
             return
         self._context.forget_ended()
         await self._sessions.renew_sessions()
@@ -173,6 +183,10 @@
             case TaskEvents():
                 return await self._sessions.take_events(message)
 
+    def complete_takeover(self) -> None:
+        """Note that no host takes renewals of the former owner any more."""
+        self._context.complete_takeover()
+
     async def adopt(self, reply: FenceReply, address: str) -> None:
         """Take over what a host reported in answer to ``FencePartition``."""
         await self._sessions.absorb(
@@ -187,10 +201,16 @@
         for job, task in self._context.list_active():
             name = build_task_id(job.job, task.name)
             plan = find_plan(job.spec.customer)
-            if name in self._context.placements:
+            placement = self._context.placements.get(name)
+            if placement is not None and placement.confirmed:
                 summary.count_running(plan)
                 continue
-            reason = self._context.waiting.get(name, task.reason) or "not placed yet"
+            if placement is not None:
+                reason = f"{placement.host} has not confirmed the start"
+            else:
+                reason = (
+                    self._context.waiting.get(name, task.reason) or "not placed yet"
+                )
             waited = max(0.0, now - job.accepted_at)
             summary.count_waiting(
                 plan, WaitingSummary(name, job.spec.customer, waited, reason)
--- a/src/egretcrank/jobs/sessions.py
+++ b/src/egretcrank/jobs/sessions.py
@@ -90,6 +90,9 @@
         """Take in the stamp and the reports of a reply."""
         if not self._note_stamp(reply.host, reply.incarnation, reply.stamp, address):
             return
+        if not self._context.can_act():
+            # Nothing can be recorded now; hosts repeat what has not been acknowledged.
+            return
         for report in reply.tasks:
             await self._reports.take_report(
                 report, reply.host, reply.incarnation, reply.stamp
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -185,6 +185,7 @@
             self._decisions,
             self._metrics,
             self._send_task_events,
+            self._is_in_force,
         )
 
     async def _send_task_events(self, events: TaskEvents) -> bool:
@@ -337,6 +338,13 @@
         if self._tasks is not None:
             self._tasks.raise_epoch(partition, epoch)
 
+    def _is_in_force(self, partition: int, epoch: int) -> bool:
+        """Tell whether the owner of an epoch may go on, as far as this host can know.
+
+        While the log answers, claims of later epochs are found there.
+        """
+        return not self._owners_reader.is_down() or self._may_hold(partition, epoch)
+
     def _may_hold(self, partition: int, epoch: int) -> bool:
         """Tell whether no owner of a later epoch can have completed its takeover.
 
--- a/src/egretcrank/sidecar/jobs.py
+++ b/src/egretcrank/sidecar/jobs.py
@@ -78,6 +78,7 @@
         shard: Shard,
         replies: Sequence[FenceReply],
         may_act: Callable[[], bool],
+        may_renew: Callable[[], bool],
     ) -> None:
         """Start the job owner of a partition with what its hosts reported."""
         addresses = {s.member.host: s.member.control_address for s in self._members()}
@@ -95,6 +96,8 @@
             self._decisions,
             self._metrics,
             self._settings,
+            may_renew=may_renew,
+            await_majority=True,
         )
         for reply in replies:
             # A host that has not read its worker yet reports no stamp.
@@ -102,6 +105,12 @@
                 await owner.adopt(reply, addresses[reply.host])
         self._running[claimed.partition] = _Running(owner, claimed.epoch)
 
+    def complete(self, claimed: Owner) -> None:
+        """Note that the takeover of a partition is complete."""
+        running = self._running.get(claimed.partition)
+        if running is not None and running.epoch == claimed.epoch:
+            running.owner.complete_takeover()
+
     async def handle(self, message: JobMessage) -> Result[Message, Problem]:
         """Handle a message on the jobs of one of the partitions."""
         partition = self._find_partition(message)
--- a/src/egretcrank/sidecar/partitions.py
+++ b/src/egretcrank/sidecar/partitions.py
@@ -100,10 +100,14 @@
         owner.adopt(replies)
         owner.takeover.gap = claimed.epoch > 1 and not _covers(members, replies)
         await self._jobs.open(
-            claimed, shard, replies, lambda: self._may_act(claimed, shard)
+            claimed,
+            shard,
+            replies,
+            lambda: self._may_act(claimed, shard),
+            lambda: self._is_in_force(claimed),
         )
         self._open[partition] = owner
-        self._start(self._complete(owner, claimed))
+        self._start(self._complete(owner, claimed, members, replies))
         logger.info(
             "partition opened",
             extra={
@@ -118,6 +122,9 @@
         """Tell whether an ownership is in force as far as the log shows."""
         if self._owners_reader.is_down() or shard.reader.is_down():
             return False
+        return self._is_in_force(claimed)
+
+    def _is_in_force(self, claimed: Owner) -> bool:
         return self._owners.find_owner(claimed.partition) == claimed
 
     def _build_owner(self, claimed: Owner, shard: Shard) -> KeyOwner:
@@ -151,13 +158,29 @@
             if isinstance(reply := result.value_or(None), FenceReply)
         ]
 
-    async def _complete(self, owner: KeyOwner, claimed: Owner) -> None:
-        """Wait until no held attempt of the former owner can start any more."""
+    async def _complete(
+        self,
+        owner: KeyOwner,
+        claimed: Owner,
+        members: Sequence[Member],
+        replies: Sequence[FenceReply],
+    ) -> None:
+        """Wait until nothing can start for the former owner any more.
+
+        Then the members are asked again: the first table may have been incomplete, for
+        example after a restart of all entries, and held attempts may have started
+        since.
+        """
         if claimed.epoch > 1:
             while not self._announcer.majority_has_folded(claimed.offset):
                 await self._clock.sleep(MAJORITY_INTERVAL)
             session = self._settings.cluster.session_seconds
             await self._clock.sleep(session * (1 + self._settings.cluster.clock_drift))
+            later = [status.member for status in self._announcer.list_members()]
+            again = await self._fence_members(later, claimed)
+            owner.adopt(again)
+            owner.takeover.gap = not _covers([*members, *later], [*replies, *again])
+        self._jobs.complete(claimed)
         owner.takeover.complete_at = self._clock.now()
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
--- a/tests/test_task_parts.py
+++ b/tests/test_task_parts.py
@@ -218,6 +218,24 @@
         self.assertEqual(ErrorKind.NO_CAPACITY, reply.failure().kind)
         self.assertEqual([], history)
 
+    def test_renewal_needs_an_owner_in_force(self):
+        """Guards against a host that keeps a former owner's tasks in an outage."""
+
+        async def scenario():
+            world, host = self.build(pause=0)
+            await host.tasks.poll()
+            await self.start(host, host.tasks._read_stamp())
+            host.tasks._is_in_force = lambda partition, epoch: False
+            for _ in range(30):
+                stamp = host.tasks._read_stamp()
+                session = Session(3, 1, host.incarnation, stamp)
+                await host.tasks.handle(RenewSession((session,)))
+                await host.tasks.poll()
+                world.time += 1
+            return host.tasks.has_active_tasks
+
+        self.assertFalse(self.run_async(scenario()))
+
     def test_stamp_from_before_a_pause_is_lapsed(self):
         """Guards against an owner or sidecar that acts on an ended session."""
 
