Tell a crash that may have lost held keys from one that cannot

Cause: found by reading. A dead former owner never answers the fence, so every crash of an owner counted as a gap, and from then on every key of a hold service that is not a UUIDv7 got outcome_unknown for as long as the partition kept its owner. A second takeover, on the other hand, forgot the gap of the first.

--- a/src/egretcrank/idempotency/owner.py
+++ b/src/egretcrank/idempotency/owner.py
@@ -119,6 +119,12 @@
         """Keys that are being handled, and records that wait for the log."""
         return len(self._running) + len(self._background)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the log has all that a successor needs to know of held keys."""
+        complete = self.takeover.complete_at is not None
+        return complete and not self._held and not self._running
+
     async def submit(self, submit: Submit) -> Outcome:
         """Run the request of a key at most once and return its outcome."""
         if self._closed:
@@ -253,7 +259,8 @@
                 claimed_at=self._context.clock.now().timestamp(),
             )
         )
-        self._own_claims.add(submit.key)
+        if self.takeover.gap:
+            self._own_claims.add(submit.key)
         held = may_hold and (submit.key in self._held or self._context.reader.is_down())
         if not held:
             self._undispatched.add((submit.key, number))
--- a/src/egretcrank/ownership/state.py
+++ b/src/egretcrank/ownership/state.py
@@ -1,6 +1,6 @@
 """Owners of partitions, folded from the ``owners`` stream."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 from returns.result import Failure, Success
@@ -21,6 +21,9 @@
     address: str
     offset: int
     released: bool = False
+    clean: bool = False
+    former_host: str = ""
+    former_clean: bool = False
 
 
 class OwnersState:
@@ -63,6 +66,8 @@
             claim.incarnation,
             claim.address,
             offset,
+            former_host=current.host if current else "",
+            former_clean=current.clean if current else True,
         )
         return Success(None)
 
@@ -75,14 +80,8 @@
         ):
             detail = f"release of partition {release.partition} by {release.host}"
             return Failure(Problem(ErrorKind.STALE_EPOCH, detail))
-        self._owners[release.partition] = Owner(
-            current.partition,
-            current.epoch,
-            current.host,
-            current.incarnation,
-            current.address,
-            current.offset,
-            released=True,
+        self._owners[release.partition] = replace(
+            current, released=True, clean=release.clean
         )
         return Success(None)
 
--- a/src/egretcrank/ownership/takeover.py
+++ b/src/egretcrank/ownership/takeover.py
@@ -199,7 +199,7 @@
         await asyncio.gather(
             *(
                 self._appender.append(
-                    OwnerRelease(owner.partition, owner.epoch, self._host)
+                    OwnerRelease(owner.partition, owner.epoch, self._host, owner.clean)
                 )
                 for owner in partitions
             )
--- a/src/egretcrank/ownership/work.py
+++ b/src/egretcrank/ownership/work.py
@@ -17,18 +17,22 @@
 )
 from egretcrank.settings.schema import ClusterSettings
 from egretcrank.stream.reader import Verdict
-from egretcrank.stream.records import Fence, KeyClaim, KeyOutcome, Record
+from egretcrank.stream.records import Fence, HeldGap, KeyClaim, KeyOutcome, Record
 
-WorkRecord = KeyClaim | KeyOutcome | JobRecord | TaskRecord
+WorkRecord = KeyClaim | KeyOutcome | HeldGap | JobRecord | TaskRecord
 
 
 @dataclass(slots=True)
 class PartitionState:
-    """Work of one partition under its highest fenced epoch."""
+    """Work of one partition under its highest fenced epoch.
+
+    ``gap_at`` is the time before which held keys may be unknown, or 0.
+    """
 
     epoch: int
     keys: KeysState
     jobs: JobsState
+    gap_at: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +41,7 @@
     epoch: int
     keys: tuple[KeyEntry, ...]
     jobs: dict[str, Any]
+    gap_at: float = 0.0
 
 
 class WorkState:
@@ -63,7 +68,7 @@
         match record:
             case Fence(partition, epoch):
                 return self._apply_fence(partition, epoch)
-            case KeyClaim() | KeyOutcome():
+            case KeyClaim() | KeyOutcome() | HeldGap():
                 return self._apply_work(record)
             case _ if isinstance(record, JOB_RECORDS + TASK_RECORDS):
                 return self._apply_work(record)
@@ -80,6 +85,9 @@
                 return state.keys.apply_claim(record)
             case KeyOutcome():
                 return state.keys.apply_outcome(record)
+            case HeldGap():
+                state.gap_at = max(state.gap_at, record.completed_at)
+                return Success(None)
             case _:
                 return state.jobs.apply(record)
 
@@ -99,6 +107,7 @@
                     state.epoch,
                     state.keys.list_entries(),
                     state.jobs.build_state(),
+                    state.gap_at,
                 )
                 for partition, state in sorted(self._partitions.items())
             ]
@@ -125,6 +134,7 @@
             state.epoch = body.epoch
             state.keys.load_entries(body.keys)
             state.jobs.load_state(body.jobs)
+            state.gap_at = body.gap_at
         return Success(None)
 
 
--- a/src/egretcrank/sidecar/partitions.py
+++ b/src/egretcrank/sidecar/partitions.py
@@ -4,10 +4,11 @@
 import logging
 import random
 from collections.abc import Coroutine, Sequence
-from datetime import timedelta
+from dataclasses import replace
+from datetime import UTC, datetime, timedelta
 from typing import Any
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from egretcrank.clock import Clock
 from egretcrank.errors.kinds import ErrorKind, Problem
@@ -21,7 +22,7 @@
 from egretcrank.settings.schema import Settings
 from egretcrank.sidecar.jobs import OwnedJobs
 from egretcrank.stream.reader import StreamReader
-from egretcrank.stream.records import Fence
+from egretcrank.stream.records import Fence, HeldGap
 from egretcrank.transport.client import Peers
 from egretcrank.wire.messages import (
     Executed,
@@ -98,7 +99,6 @@
         replies = await self._fence_members(members, claimed)
         owner = self._build_owner(claimed, shard)
         owner.adopt(replies)
-        owner.takeover.gap = claimed.epoch > 1 and not _covers(members, replies)
         await self._jobs.open(
             claimed,
             shard,
@@ -107,7 +107,7 @@
             lambda: self._is_in_force(claimed),
         )
         self._open[partition] = owner
-        self._start(self._complete(owner, claimed, members, replies))
+        self._start(self._complete(owner, claimed, shard, members, replies))
         logger.info(
             "partition opened",
             extra={
@@ -162,6 +162,7 @@
         self,
         owner: KeyOwner,
         claimed: Owner,
+        shard: Shard,
         members: Sequence[Member],
         replies: Sequence[FenceReply],
     ) -> None:
@@ -179,9 +180,29 @@
             later = [status.member for status in self._announcer.list_members()]
             again = await self._fence_members(later, claimed)
             owner.adopt(again)
-            owner.takeover.gap = not _covers([*members, *later], [*replies, *again])
+            known = [*members, *later]
+            if not _covers(claimed, known, [*replies, *again]):
+                await self._record_gap(claimed, shard)
         self._jobs.complete(claimed)
-        owner.takeover.complete_at = self._clock.now()
+        self._finish_takeover(owner, claimed, shard)
+
+    async def _record_gap(self, claimed: Owner, shard: Shard) -> None:
+        """Record for later owners that held keys from before now may be unknown."""
+        gap = HeldGap(claimed.partition, claimed.epoch, self._clock.now().timestamp())
+        while self._is_in_force(claimed):
+            if isinstance(await shard.appender.append(gap), Success):
+                return
+
+    def _finish_takeover(self, owner: KeyOwner, claimed: Owner, shard: Shard) -> None:
+        """Let held services be served, except keys that fall into a gap."""
+        now = self._clock.now()
+        gap_at = shard.state.find_partition(claimed.partition).gap_at
+        retention = self._settings.cluster.key_retention_seconds
+        age = now.timestamp() - gap_at
+        owner.takeover.gap = gap_at > 0 and age < retention.total_seconds()
+        owner.takeover.complete_at = (
+            datetime.fromtimestamp(gap_at, UTC) if owner.takeover.gap else now
+        )
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(coroutine)
@@ -221,9 +242,13 @@
             owner.close()
         await asyncio.gather(*(owner.finish(limit) for owner in self._open.values()))
         await self._jobs.close()
-        held = [self._owners.find_owner(partition) for partition in self._open]
+        held = tuple(
+            replace(claimed, clean=self._open[partition].is_settled)
+            for partition in self._open
+            if (claimed := self._owners.find_owner(partition)) is not None
+        )
         self._open.clear()
-        return tuple(owner for owner in held if owner is not None)
+        return held
 
     async def close(self) -> None:
         """Stop the tasks that complete takeovers."""
@@ -232,7 +257,19 @@
         await asyncio.gather(*self._completions, return_exceptions=True)
 
 
-def _covers(members: Sequence[Member], replies: Sequence[FenceReply]) -> bool:
-    """Tell whether every known member answered with the incarnation that is known."""
+def _covers(
+    claimed: Owner, members: Sequence[Member], replies: Sequence[FenceReply]
+) -> bool:
+    """Tell whether no held attempt of the former owner can have been missed.
+
+    Every known member must have answered with its incarnation. The former owner's host
+    need not, because it never executes what it holds itself.
+    """
+    if claimed.former_clean:
+        return True
     answered = {(reply.host, reply.incarnation) for reply in replies}
-    return all((member.host, member.incarnation) in answered for member in members)
+    return all(
+        (member.host, member.incarnation) in answered
+        for member in members
+        if member.host != claimed.former_host
+    )
--- a/src/egretcrank/stream/records.py
+++ b/src/egretcrank/stream/records.py
@@ -69,11 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerRelease:
-    """End of an ownership by its holder, after its work was handed over."""
+    """End of an ownership by its holder.
+
+    It is ``clean`` if no held attempt of it can be missing from the log.
+    """
 
     partition: int = 0
     epoch: int = 0
     host: str = ""
+    clean: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +89,19 @@
     host: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class HeldGap:
+    """Held keys from before ``completed_at`` (seconds since 1970) may be unknown.
+
+    Written by an owner that could not ask every host for the held attempts of its
+    predecessor.
+    """
+
+    partition: int = 0
+    epoch: int = 0
+    completed_at: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class KeyClaim:
     """Intent to run attempt ``attempt`` of ``key`` on one incarnation of a host."""
@@ -212,6 +229,7 @@
     | OwnerClaim
     | OwnerRelease
     | Fence
+    | HeldGap
     | KeyClaim
     | KeyOutcome
     | JobAccepted
