Place batch tasks of the daemons by health, spread and free processors

Job owners chose the member with the most free processors, so a worker that fails everything was always free and drew further tasks.

All owners of a sidecar process now share one Scheduler, behind sidecar/placement.py. Owners report each confirmed start and each end of an attempt once through AttemptListener. While no usage reports arrive, all pairs of kind and service are unknown, and the exploration of the policy would hold tasks back; Scheduler.place_unmeasured then chooses by health, spread and free processors, and its reason says so.

--- a/src/egretcrank/jobs/context.py
+++ b/src/egretcrank/jobs/context.py
@@ -8,14 +8,23 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.jobs.interfaces import (
     Append,
+    AttemptListener,
     Call,
     CheckQuota,
     HostSession,
+    IgnoreAttempts,
     PlacedTask,
     Placement,
     PlaceTask,
+    WaitingTask,
+)
+from egretcrank.jobs.model import (
+    JobState,
+    Report,
+    TaskState,
+    build_task_id,
+    split_task_id,
 )
-from egretcrank.jobs.model import JobState, TaskState, build_task_id, split_task_id
 from egretcrank.jobs.state import JobsState
 from egretcrank.observability.decisions import Decision, DecisionLog
 from egretcrank.observability.metrics import Metrics
@@ -44,7 +53,10 @@
         metrics: Metrics,
         settings: Settings,
         build_id: Callable[[], str],
+        listener: AttemptListener,
     ) -> None:
+        self.listener = listener
+        self.started: dict[str, int] = {}
         self.build_id = build_id
         self.partition = partition
         self.epoch = epoch
@@ -120,6 +132,45 @@
         inputs = {"partition": self.partition, "epoch": self.epoch}
         self.decisions.record(Decision(subject, action, choice, reason, (), inputs))
 
+    def note_start(self, name: str, placement: Placement) -> None:
+        """Tell the listener of a start unless it knows of it."""
+        job_id, task = split_task_id(name)
+        job = self.state.jobs.get(job_id)
+        if job is None or self.started.get(name) == placement.attempt:
+            return
+        self.note_end(name, Report.LOST)
+        spec = next(s for s in job.spec.tasks if s.name == task)
+        self.started[name] = placement.attempt
+        self.listener.record_start(
+            WaitingTask(
+                name,
+                job.spec.customer,
+                job.spec.kind,
+                job.spec.urgent,
+                spec.resources,
+                0.0,
+            ),
+            placement.host,
+        )
+
+    def note_end(self, name: str, state: str) -> None:
+        """Tell the listener of the end of an attempt whose start it knows."""
+        if self.started.pop(name, None) is not None:
+            self.listener.record_end(name, state)
+
+    def end_unplaced(self) -> None:
+        """Tell the listener of attempts that ended without a report."""
+        for name, attempt in list(self.started.items()):
+            placement = self.placements.get(name)
+            if placement is None or placement.attempt != attempt:
+                self.note_end(name, Report.LOST)
+
+    def stop_listening(self) -> None:
+        """Tell the listener that all attempts have ended, and nothing after that."""
+        for name in list(self.started):
+            self.note_end(name, Report.LOST)
+        self.listener = IgnoreAttempts()
+
     def forget_ended(self) -> None:
         """Drop what is kept of tasks that have ended."""
         active = {build_task_id(job.job, t.name) for job, t in self.list_active()}
--- a/src/egretcrank/jobs/interfaces.py
+++ b/src/egretcrank/jobs/interfaces.py
@@ -91,6 +91,26 @@
         """Choose a host among members whose capacity holds the task."""
 
 
+class AttemptListener(Protocol):
+    """Hears of each attempt that started: once of its start and once of its end."""
+
+    def record_start(self, task: WaitingTask, host: str) -> None:
+        """Record that an attempt of a task runs on a host."""
+
+    def record_end(self, task: str, state: str) -> None:
+        """Record that the attempt ended, with its last state as reported."""
+
+
+class IgnoreAttempts:
+    """Listener for owners whose placement learns nothing from attempts."""
+
+    def record_start(self, task: WaitingTask, host: str) -> None:
+        """Do nothing."""
+
+    def record_end(self, task: str, state: str) -> None:
+        """Do nothing."""
+
+
 # Returns why the customer may not use these resources more, given what its tasks of
 # this partition use already, or nothing.
 CheckQuota = Callable[[str, Resources, Resources], str | None]
--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -18,8 +18,10 @@
 from egretcrank.jobs.intake import JobIntake
 from egretcrank.jobs.interfaces import (
     Append,
+    AttemptListener,
     Call,
     CheckQuota,
+    IgnoreAttempts,
     JobMessage,
     PlacedTask,
     PlaceTask,
@@ -82,6 +84,7 @@
         metrics: Metrics,
         settings: Settings,
         build_id: Callable[[], str] = lambda: uuid4().hex,
+        listener: AttemptListener | None = None,
     ) -> None:
         self._append = append
         self._call = call
@@ -100,6 +103,7 @@
             metrics,
             settings,
             build_id,
+            listener or IgnoreAttempts(),
         )
         self._intake = JobIntake(self._context)
         self._reports = ReportRecorder(self._context)
@@ -152,6 +156,7 @@
         if not self._context.can_act():
             return
         self._context.forget_ended()
+        self._context.end_unplaced()
         await self._sessions.renew_sessions()
         await self._supervision.stop_what_must_not_run()
         await self._supervision.recover_lost()
@@ -173,6 +178,10 @@
             case TaskEvents():
                 return await self._sessions.take_events(message)
 
+    def close(self) -> None:
+        """Report the end of all attempts to the listener; hosts go on with them."""
+        self._context.stop_listening()
+
     async def adopt(self, reply: FenceReply, address: str) -> None:
         """Take over what a host reported in answer to ``FencePartition``."""
         await self._sessions.absorb(
--- a/src/egretcrank/jobs/reports.py
+++ b/src/egretcrank/jobs/reports.py
@@ -52,13 +52,18 @@
             # Only a fold that lags behind its successor's can see this.
             return False
         self._context.orphans.pop((report.task, report.attempt), None)
+        ended = placement is not None and here and placement.attempt == report.attempt
+        if ended and placement and report.state in {Report.DONE, Report.FAILED}:
+            # A short attempt may end before any report that it runs.
+            self._context.note_start(report.task, placement)
         # An attempt that was placed elsewhere since had ended here without a result.
         if current and (placement is None or here or report.state == Report.DONE):
             await self._record_end(report, job, name, host)
             task = self._context.state.find_task(job, name)
             if task and task.ending is None and task.attempt == report.attempt:
                 return False
-        if placement is not None and here and placement.attempt == report.attempt:
+        if ended:
+            self._context.note_end(report.task, report.state)
             self._context.placements.pop(report.task, None)
         return True
 
@@ -79,6 +84,8 @@
             checkpointed_at=since,
         )
         self._context.placements[report.task] = placement
+        if placement.confirmed:
+            self._context.note_start(report.task, placement)
         if now - since < self._context.settings.cluster.checkpoint_record_seconds:
             return
         job, name = split_task_id(report.task)
@@ -100,7 +107,7 @@
     def _adopt(
         self, report: TaskReport, host: str, incarnation: int, stamp: float
     ) -> None:
-        self._context.placements[report.task] = Placement(
+        placement = Placement(
             host,
             incarnation,
             report.attempt,
@@ -111,6 +118,9 @@
             report.progress,
             self._context.clock.monotonic(),
         )
+        self._context.placements[report.task] = placement
+        if placement.confirmed:
+            self._context.note_start(report.task, placement)
         self._context.unresolved.pop(report.task, None)
         self._context.closed.add(report.task)
         self._context.decide(
--- a/src/egretcrank/policy/placement.py
+++ b/src/egretcrank/policy/placement.py
@@ -181,6 +181,22 @@
     )
 
 
+def choose_spread(
+    task: WaitingTask, hosts: Sequence[HostView], all_hosts: Sequence[HostView]
+) -> HostView:
+    """Choose the host with the fewest tasks of the job around it.
+
+    Among equals it is the one with the most free processors.
+    """
+    counts, _ = _count_spread(task, all_hosts)
+
+    def weigh(host: HostView) -> tuple[int, float]:
+        near = counts[f"rack {host.rack}"] + counts[f"domain {host.failure_domain}"]
+        return near, -host.free.processors
+
+    return min(hosts, key=weigh)
+
+
 def find_upper(estimate: Estimate, weights: Weights) -> float:
     """Return the slowdown to reckon with: the mean plus weighted uncertainty."""
     caution = 1.4 * weights.tail_share
--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -18,6 +18,7 @@
 )
 from egretcrank.policy.placement import (
     KNOWN_DEVIATION,
+    Alternative,
     HostView,
     Outlook,
     Placement,
@@ -26,6 +27,7 @@
     WaitingTask,
     Weights,
     choose_host,
+    choose_spread,
     find_upper,
     fits,
 )
@@ -119,6 +121,32 @@
             self._rng,
         )
 
+    def place_unmeasured(
+        self, task: WaitingTask, members_view: Sequence[HostView]
+    ) -> Placement | Wait:
+        """Choose a host by health, spread and free processors alone.
+
+        For kinds of unknown interference while no usage reports arrive: exploration
+        would hold them back without ever learning more.
+        """
+        able = [h for h in members_view if fits(task.declared, h.capacity)]
+        if not able:
+            return Wait(task.task, "larger than any host")
+        # With every worker set aside, the jobs are as suspect as the workers.
+        usable = [host for host in able if self._is_usable(host)] or able
+        failed = self._health.list_failed(task.job)
+        fresh = [host for host in usable if host.host not in failed] or usable
+        fitting = [host for host in fresh if fits(task.declared, host.free)]
+        if not fitting:
+            return Wait(task.task, "no usable worker has the resources free")
+        self._rng.shuffle(fitting)
+        best = choose_spread(task, fitting, members_view)
+        others = tuple(
+            Alternative(host.host, None, "fits") for host in fitting if host != best
+        )
+        reason = "interference unknown: most free processors after health and spread"
+        return Placement(task.task, best.host, task.declared, 1.0, reason, others)
+
     def preempt(
         self, task: WaitingTask, members_view: Sequence[HostView]
     ) -> Preemption | None:
--- a/src/egretcrank/sidecar/jobs.py
+++ b/src/egretcrank/sidecar/jobs.py
@@ -10,22 +10,18 @@
 from egretcrank.clock import Clock
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.jobs.model import add_resources
-from egretcrank.jobs.owner import (
-    JobMessage,
-    JobOwner,
-    PlacedTask,
-    Placing,
-    WaitingTask,
-)
+from egretcrank.jobs.owner import JobMessage, JobOwner
 from egretcrank.jobs.summary import WorkSummary, combine
 from egretcrank.lists.state import ListsState
-from egretcrank.membership.directory import ALIVE
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.partitions import find_job_partition, find_partition
 from egretcrank.ownership.shards import Shard
 from egretcrank.ownership.state import Owner
+from egretcrank.policy.placement import Weights
+from egretcrank.policy.scheduler import Scheduler
 from egretcrank.settings.schema import Settings
+from egretcrank.sidecar.placement import PolicyPlacement
 from egretcrank.transport.client import Peers
 from egretcrank.wire.messages import (
     FenceReply,
@@ -69,7 +65,7 @@
         self._clock = clock
         self._decisions = decisions
         self._metrics = metrics
-        self._random = generator
+        self._placement = PolicyPlacement(Scheduler(clock, generator, Weights()))
         self._running: dict[int, _Running] = {}
 
     async def open(
@@ -88,13 +84,14 @@
             shard.appender.append,
             self._peers.call,
             self._members,
-            self._place,
+            self._placement.place,
             self._check_quota,
             may_act,
             self._clock,
             self._decisions,
             self._metrics,
             self._settings,
+            listener=self._placement,
         )
         for reply in replies:
             # A host that has not read its worker yet reports no stamp.
@@ -126,6 +123,7 @@
         running = self._running.get(partition)
         if running is not None and epoch > running.epoch:
             running.task.cancel()
+            running.owner.close()
             del self._running[partition]
 
     async def close(self) -> None:
@@ -165,26 +163,3 @@
             if wanted > allowed:
                 return f"{name} {wanted:g} exceed the quota {allowed:g} of the plan"
         return None
-
-    def _place(
-        self,
-        task: WaitingTask,
-        members: Sequence[MemberStatus],
-        placed: Sequence[PlacedTask],
-    ) -> Placing:
-        """Choose the member with the most free processors that holds the task."""
-        candidates = [
-            status.member
-            for status in members
-            if status.liveness == ALIVE
-            and status.member.state == "serving"
-            and status.member.free.processors >= task.resources.processors
-            and status.member.free.memory_mib >= task.resources.memory_mib
-            and status.member.free.accelerators >= task.resources.accelerators
-        ]
-        if not candidates:
-            return Placing(None, "no member has the resources free")
-        self._random.shuffle(candidates)
-        best = max(candidates, key=lambda member: member.free.processors)
-        others = tuple(m.host for m in candidates if m is not best)
-        return Placing(best.host, "most free processors", others)
--- a/tests/task_world.py
+++ b/tests/task_world.py
@@ -155,7 +155,8 @@
 class World:
     """Everything around the owners; ``faults`` is the chance of each fault."""
 
-    def __init__(self, random: Random, hosts: int, faults: float):
+    def __init__(self, random: Random, hosts: int, faults: float, listener=None):
+        self.listener = listener
         self.random, self.faults, self.time = random, faults, 0.0
         self.epoch = self.jobs_built = 0
         self.late: list[Callable[[], object]] = []
@@ -289,6 +290,7 @@
             Metrics(),
             SETTINGS,
             self.build_id,
+            self.listener,
         )
         self.owners = [*self.owners[-1:], owner]
 
