Keep tasks of a partly failing job moving and bound failure history

A worker on which a task of the same job failed is now the last choice instead of none: one bad task made all others of its job wait while the other workers were full.

--- a/src/egretcrank/policy/health.py
+++ b/src/egretcrank/policy/health.py
@@ -14,6 +14,9 @@
 # Failures of a job on one worker count as one; a job gives up after this many in all.
 FAILURES_IN_ALL = 12
 
+# Jobs that never succeed would otherwise be kept for the life of the process.
+KEPT_JOBS = 10_000
+
 FIRST_REST = timedelta(minutes=2)
 LONGEST_REST = timedelta(minutes=30)
 
@@ -69,6 +72,10 @@
         """Record that a task of ``job`` failed on ``worker``."""
         self._jobs[job].add(worker)
         self._failures[job] += 1
+        if len(self._jobs) > KEPT_JOBS:
+            oldest = next(iter(self._jobs))
+            del self._jobs[oldest]
+            self._failures.pop(oldest, None)
         self._trials.pop(worker, None)
         record = self._workers[worker]
         if record.until is not None:
--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -134,11 +134,12 @@
             return Wait(task.task, "larger than any host")
         # With every worker set aside, the jobs are as suspect as the workers.
         usable = [host for host in able if self._is_usable(host)] or able
-        failed = self._health.list_failed(task.job)
-        fresh = [host for host in usable if host.host not in failed] or usable
-        fitting = [host for host in fresh if fits(task.declared, host.free)]
+        fitting = [host for host in usable if fits(task.declared, host.free)]
         if not fitting:
             return Wait(task.task, "no usable worker has the resources free")
+        # One bad task must not make all others of its job wait for the other workers.
+        failed = self._health.list_failed(task.job)
+        fitting = [host for host in fitting if host.host not in failed] or fitting
         self._rng.shuffle(fitting)
         best = choose_spread(task, fitting, members_view)
         others = tuple(
