--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,15 +1,24 @@
 """Tests of the placement policy as job owners use it."""
 
+import asyncio
 from collections import Counter
 from datetime import timedelta
 from random import Random
+from types import SimpleNamespace
 
 import msgspec
+from returns.result import Success
 
 from egretcrank.jobs.interfaces import PlacedTask, WaitingTask
+from egretcrank.lists.entries import Allowance, Customer
+from egretcrank.observability.decisions import DecisionLog
+from egretcrank.observability.metrics import Metrics
+from egretcrank.ownership.partitions import find_partition
+from egretcrank.ownership.state import Owner
 from egretcrank.policy.health import KEPT_JOBS, WorkerHealth
 from egretcrank.policy.placement import Weights
 from egretcrank.policy.scheduler import Scheduler
+from egretcrank.sidecar.jobs import OwnedJobs
 from egretcrank.sidecar.placement import PolicyPlacement
 from egretcrank.wire.messages import (
     CancelJob,
@@ -21,11 +30,16 @@
     TaskSpec,
 )
 from tests.cases import AsyncTestCase, ManualClock
-from tests.task_world import TIMED_OUT, World
+from tests.task_world import SETTINGS, TIMED_OUT, World
 
 SIZE = Resources(1, 100, 0)
 
 
+def build_stub(**attributes):
+    """Build a stand-in that has only these attributes."""
+    return SimpleNamespace(**attributes)
+
+
 class CountingPlacement(PolicyPlacement):
     """Placement that keeps what it is told."""
 
@@ -200,3 +214,53 @@
         assert chosen.host == "h2", chosen
         assert set(chosen.alternatives) == {"h0", "h1", "h3"}
         assert "unknown" in chosen.reason
+
+    def test_owners_of_a_sidecar_avoid_broken_workers(self):
+        """Guards against owners that place by something else or report nothing."""
+        self.run_async(self.check_owned_jobs())
+
+    async def check_owned_jobs(self):
+        world, _ = self.build_world(3)
+        await world.tick(1.0)
+        clock = ManualClock()
+        owned = OwnedJobs(
+            SETTINGS,
+            build_stub(
+                find_customer=lambda name: Success(Customer(name, "p")),
+                find_allowance=Allowance,
+            ),
+            build_stub(call=world.call),
+            lambda: [host.describe() for host in world.hosts.values()],
+            clock,
+            DecisionLog(clock),
+            Metrics(),
+            Random(1),
+        )
+        shard = build_stub(
+            state=build_stub(find_partition=lambda _: build_stub(jobs=world.state)),
+            appender=build_stub(append=world.build_append(1)),
+        )
+        self.break_worker(world, "h0")
+        partition = find_partition("c", SETTINGS.cluster)
+        claimed = Owner(partition, 1, "s", 1, "s", 1)
+        await owned.open(claimed, shard, (), lambda: True)
+        world.owners = [build_stub(handle=owned.handle, step=self.wait_briefly)]
+        for number in range(24):
+            spec = (TaskSpec("t", "sleep 1", SIZE),)
+            message = SubmitJob(
+                f"k{number}", "c", "bundle", "from_checkpoint", False, spec
+            )
+            (await owned.handle(message)).unwrap()
+            for _ in range(8):
+                clock.advance(timedelta(seconds=0.5))
+                await world.tick(0.5)
+        await owned.close()
+        failures = sum(
+            event.state == "failed" for event in world.hosts["h0"].worker.history
+        )
+        assert set(world.endings.values()) == {"done"}, world.endings
+        assert failures == 3, failures
+
+    async def wait_briefly(self):
+        for _ in range(50):
+            await asyncio.sleep(0)
