--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -18,8 +18,10 @@
 from egretcrank.jobs.intake import JobIntake
 from egretcrank.jobs.interfaces import (
     Append,
+    AttemptListener,
     Call,
     CheckQuota,
+    IgnoreAttempts,
     JobMessage,
     PlacedTask,
     PlaceTask,
@@ -88,6 +90,7 @@
         build_id: Callable[[], str] = lambda: uuid4().hex,
         may_renew: Callable[[], bool] = lambda: False,
         await_majority: bool = False,
+        listener: AttemptListener | None = None,
     ) -> None:
         self._append = append
         self._call = call
@@ -108,6 +111,7 @@
             metrics,
             settings,
             build_id,
+            listener or IgnoreAttempts(),
         )
         self._intake = JobIntake(self._context)
         self._reports = ReportRecorder(self._context)
@@ -162,6 +166,7 @@
                 await self._sessions.renew_sessions()
             return
         self._context.forget_ended()
+        self._context.end_unplaced()
         await self._sessions.renew_sessions()
         await self._supervision.stop_what_must_not_run()
         await self._supervision.recover_lost()
@@ -187,6 +192,10 @@
         """Note that no host takes renewals of the former owner any more."""
         self._context.complete_takeover()
 
+    def close(self) -> None:
+        """Report the end of all attempts to the listener; hosts go on with them."""
+        self._context.stop_listening()
+
     async def adopt(self, reply: FenceReply, address: str) -> None:
         """Take over what a host reported in answer to ``FencePartition``."""
         await self._sessions.absorb(
