--- a/bench/prove/batch.py
+++ b/bench/prove/batch.py
@@ -7,7 +7,7 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from dataclasses import dataclass, field
 from itertools import pairwise
 from pathlib import Path
@@ -77,7 +77,8 @@
         self._seed = seed
         self._stop = threading.Event()
         self._lock = threading.Lock()
-        self._threads: list[threading.Thread] = []
+        self._pool = ThreadPoolExecutor(SUBMITTERS + 2)
+        self._runs: list[Future[None]] = []
         self._http = urllib3.PoolManager(retries=False, maxsize=16)
         self.jobs: list[Job] = []
         self.answers: Counter[str] = Counter()
@@ -89,19 +90,19 @@
         runs += [(self._cancel_waves, SUBMITTERS), (self._describe_jobs, -1)]
         for run, number in runs:
             generator = random.Random(f"{self._seed}/batch/{number}")
-            thread = threading.Thread(target=run, args=(generator, number))
-            thread.start()
-            self._threads.append(thread)
+            self._runs.append(self._pool.submit(run, generator, number))
 
     def stop(self) -> None:
         """Stop all threads."""
         self._stop.set()
-        for thread in self._threads:
-            thread.join()
+        self._pool.shutdown()
 
     def finish(self, deadline: float) -> None:
         """Repeat unclear submissions and follow all jobs to their end."""
         self.stop()
+        for run in self._runs:
+            # A thread that failed would leave a run that proves little.
+            run.result()
         generator = random.Random(f"{self._seed}/batch/finish")
         while time.monotonic() < deadline:
             left = [job for job in self.jobs if not job.has_ended]
@@ -113,10 +114,9 @@
                 else:
                     self._submit(job, generator.choice(self._entries))
             time.sleep(POLL_SECONDS)
-        with ThreadPoolExecutor(SUBMITTERS) as pool:
-            for job in self.jobs:
-                for entry in self._entries if job.has_ended else ():
-                    pool.submit(self._describe, job, entry)
+        for job in self.jobs:
+            for entry in self._entries if job.has_ended else ():
+                self._describe(job, entry)
 
     def _submit_jobs(self, generator: random.Random, number: int) -> None:
         sequence = 0
