--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -88,9 +88,9 @@
         metrics: Metrics,
         settings: Settings,
         build_id: Callable[[], str] = lambda: uuid4().hex,
+        listener: AttemptListener | None = None,
         may_renew: Callable[[], bool] = lambda: False,
         await_majority: bool = False,
-        listener: AttemptListener | None = None,
     ) -> None:
         self._append = append
         self._call = call
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -243,7 +243,7 @@
         self.break_worker(world, "h0")
         partition = find_partition("c", SETTINGS.cluster)
         claimed = Owner(partition, 1, "s", 1, "s", 1)
-        await owned.open(claimed, shard, (), lambda: True)
+        await owned.open(claimed, shard, (), lambda: True, lambda: True)
         world.owners = [build_stub(handle=owned.handle, step=self.wait_briefly)]
         for number in range(24):
             spec = (TaskSpec("t", "sleep 1", SIZE),)
