Check list changes under failure; serve the metrics of sidecars

Cause: configuration had no point in bench.prove, and the counters of sidecars could not be read. Sidecars serve metrics at metrics_address; gauges that nothing set are set.

--- a/bench/prove/__main__.py
+++ b/bench/prove/__main__.py
@@ -11,6 +11,7 @@
 from bench.cluster import Layout
 from bench.prove.batch import BatchWorkload, check_batch, collect_histories, write_batch
 from bench.prove.callers import Callers
+from bench.prove.configuration import ConfigurationWorkload, check_configuration
 from bench.prove.faults import Injector, ProvedCluster
 from bench.prove.history import History, read_journal
 from bench.prove.points import Findings, check_all
@@ -58,18 +59,23 @@
     entries = {name: http for name, _, _, http in cluster.entries}
     callers = Callers(entries, options.seed, CALLER_THREADS)
     batch = BatchWorkload(list(entries.values()), options.seed)
+    lists = ConfigurationWorkload(cluster, list(entries.values()), options.seed)
     try:
         cluster.route_through_forwarder()
         cluster.start()
+        lists.start()
         callers.start()
         batch.start()
         used = time.monotonic() - started
         seconds = options.seconds - RESERVED_SECONDS - MOST_JOB_SECONDS - used
         injector.run(max(LEAST_FAULT_SECONDS, seconds))
+        behind = lists.finish()
+        expected = lists.read_expected()
         batch.finish(time.monotonic() + MOST_JOB_SECONDS)
         time.sleep(GRACE_SECONDS)
         workers = collect_histories(cluster)
     finally:
+        lists.stop()
         batch.stop()
         calls = callers.stop()
         cluster.stop()
@@ -82,6 +88,7 @@
     (directory / "faults.txt").write_text(timeline + "\n", encoding="utf-8")
     write_batch(directory / "batch.json", batch.jobs, workers)
     points = check_all(history) | check_batch(batch.jobs, workers, GRACE_SECONDS)
+    points["configuration"] = check_configuration(lists.samples, expected, behind)
     print("job answers", *(f"{k}={v}" for k, v in sorted(batch.answers.items())))
     return report(points, injector.counts, history, directory)
 
--- a/bench/prove/batch.py
+++ b/bench/prove/batch.py
@@ -17,6 +17,7 @@
 import urllib3
 
 from bench.cluster import Cluster
+from bench.prove.callers import CUSTOMERS
 from bench.prove.points import Findings
 from bench.standins.worker import (
     ROUNDING,
@@ -33,7 +34,7 @@
 POLL_SECONDS = 0.2
 # The entry answers within 12 s plus the call that it began last.
 CLIENT_TIMEOUT_SECONDS = 20.0
-CUSTOMERS = ("member-1", "member-2", "courier")
+
 FINAL_STATES = frozenset({"done", "failed", "cancelled", "cannot_run", "unknown"})
 TOO_LARGE = 64.0
 
--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import threading
+from collections import Counter
 from dataclasses import replace
 from datetime import timedelta
 from typing import Any
@@ -20,7 +21,7 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.jobs.summary import WorkSummary, combine, read_document
 from egretcrank.lists.state import ListsState
-from egretcrank.membership.directory import ALIVE, Directory
+from egretcrank.membership.directory import ALIVE, LIVENESS, Directory
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.state import OwnersState
@@ -209,6 +210,11 @@
             )
         return await self._jobs.route(message)
 
+    def _find_lists_revision(self) -> int:
+        """Return the revision in force, or 0 while none is."""
+        ready = self._lists_reader.position.ready
+        return self._lists.revision if ready else 0
+
     async def describe_status(self) -> dict[str, Any]:
         """Return the status document of this entry, its members and their work."""
         return {**self._describe_own(), "work": await self._collect_work()}
@@ -253,7 +259,7 @@
             "in_flight": self._in_flight,
             "log_down": position.down,
             "owners_offset": position.next_offset,
-            "lists_revision": self._lists.revision,
+            "lists_revision": self._find_lists_revision(),
             "traffic": self._traffic.read()._asdict(),
             "lists_offset": self._lists_reader.position.next_offset,
             "members": [
@@ -310,6 +316,10 @@
     async def render_metrics(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the metrics of this process."""
         self._metrics.in_flight.set({}, self._in_flight)
+        self._metrics.lists_revision.set({}, self._find_lists_revision())
+        counts = Counter(s.liveness for s in self._directory.list_members())
+        for liveness in LIVENESS:
+            self._metrics.members.set({"liveness": liveness}, counts[liveness])
         return self._metrics.render(accept)
 
     async def _handle_control(self, message: Message, sender: str) -> Message:
--- a/src/egretcrank/membership/directory.py
+++ b/src/egretcrank/membership/directory.py
@@ -12,6 +12,7 @@
 SUSPECT = "suspect"
 UNREACHABLE = "unreachable"
 DEAD = "dead"
+LIVENESS = (ALIVE, SUSPECT, UNREACHABLE, DEAD)
 
 LOAD_REFRESH = timedelta(seconds=2)
 FORGET_AFTER = timedelta(minutes=10)
--- a/src/egretcrank/settings/schema.py
+++ b/src/egretcrank/settings/schema.py
@@ -81,6 +81,9 @@
     announced_request_address: str = setting(
         Kind.ADDRESS, "Request address that others use, if it differs.", ""
     )
+    metrics_address: str = setting(
+        Kind.ADDRESS, "Address of a sidecar's metrics over HTTP; none if empty.", ""
+    )
     log_level: str = setting(Kind.TEXT, "Lowest level that is logged.", "INFO")
     shutdown_seconds: timedelta = setting(
         Kind.SECONDS,
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -18,6 +18,7 @@
 from egretcrank.lists.state import ListsState
 from egretcrank.membership.announcer import Announcer, choose_incarnation
 from egretcrank.observability.decisions import DecisionLog
+from egretcrank.observability.exposition import MetricsServer
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.shards import Shards
 from egretcrank.ownership.state import OwnersState
@@ -74,6 +75,7 @@
 SHARED_STREAMS_PARTITION = 0
 LOG_THREADS = 16
 WORKER_THREADS = 4
+METRICS_TIMEOUT = timedelta(seconds=5)
 EVENTS_TIMEOUT = timedelta(seconds=2)
 MICROSECONDS_PER_SECOND = 1_000_000
 LEAVE_POLL = timedelta(milliseconds=50)
@@ -279,6 +281,7 @@
             tasks.append(asyncio.create_task(self._tasks.run()))
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(signal_number, self._stop.set)
+        metrics = self._start_metrics()
         logger.info("sidecar started", extra={"incarnation": self._incarnation})
         await self._stop.wait()
         await self._leave(requests)
@@ -287,6 +290,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._partitions.close()
         await self._shards.close()
+        if metrics is not None:
+            # Stopping waits for threads that may wait for this loop.
+            await asyncio.to_thread(metrics.stop)
         await requests.close()
         await control.close()
         await self._peers.close()
@@ -296,6 +302,25 @@
         self._worker_threads.close()
         logger.info("sidecar stopped")
 
+    def _start_metrics(self) -> MetricsServer | None:
+        address = self._settings.process.metrics_address
+        if not address:
+            return None
+        return MetricsServer(address, self._render_metrics)
+
+    def _render_metrics(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Render the metrics on the event loop, where they change."""
+
+        async def render() -> tuple[bytes, dict[str, str]]:
+            self._metrics.partitions_owned.set(
+                {}, len(self._partitions.list_partitions())
+            )
+            self._metrics.lists_revision.set({}, self._find_lists_revision())
+            self._metrics.in_flight.set({}, self._executor.running)
+            return self._metrics.render(accept)
+
+        return self._log_threads.run_on_loop(render(), METRICS_TIMEOUT).unwrap()
+
     async def _watch_incarnation(self) -> None:
         """Leave if another process runs in the place of this one."""
         while not self._announcer.newer_incarnation:
@@ -359,6 +384,11 @@
             self._owners_reader.position.next_offset,
         )
 
+    def _find_lists_revision(self) -> int:
+        """Return the revision in force, or 0 while none is."""
+        ready = self._lists_reader.position.ready
+        return self._lists.revision if ready else 0
+
     def _describe_member(self) -> Member:
         settings = self._settings
         return Member(
@@ -378,7 +408,7 @@
             free=self._tasks.ledger.free if self._tasks else Resources(),
             state=self._state,
             partitions=self._partitions.list_partitions(),
-            lists_revision=self._lists.revision,
+            lists_revision=self._find_lists_revision(),
             lists_offset=self._lists_reader.position.next_offset,
             owners_offset=self._owners_reader.position.next_offset,
         )
@@ -459,7 +489,7 @@
                 "queued": self._executor.waiting,
                 "partitions": list(self._partitions.list_partitions()),
                 "owners_offset": position.next_offset,
-                "lists_revision": self._lists.revision,
+                "lists_revision": self._find_lists_revision(),
                 "traffic": self._traffic.read()._asdict(),
                 "log_down": position.down,
                 "entries_heard": self._announcer.entries_heard,
