Revert "Reuse request contexts and settle calls by their timers (trial)"

Conclusion: no gain beyond the noise, so the simpler code stays. The time is spread over HTTP threads, event loop and nng; a next try would measure those three apart, and count threads that contend for the interpreter lock.

--- a/src/egretcrank/transport/client.py
+++ b/src/egretcrank/transport/client.py
@@ -19,7 +19,6 @@
 PROBE_INTERVAL = timedelta(seconds=1)
 PROBE_TIMEOUT = timedelta(seconds=1)
 NEVER_RESEND_MS = -1
-CLOSE_POLL_SECONDS = 0.005
 
 logger = logging.getLogger(__name__)
 
@@ -37,8 +36,6 @@
             recv_max_size=MAX_MESSAGE_BYTES, resend_time=NEVER_RESEND_MS
         )
         self._lost = asyncio.Event()
-        self._idle: list[pynng.Context] = []
-        self._timers: set[asyncio.Timeout] = set()
         self._socket.add_post_pipe_connect_cb(self._notice_connected)
         self._socket.add_post_pipe_remove_cb(self._notice_lost)
 
@@ -60,7 +57,7 @@
         # A request socket sends unanswered calls again once it reconnects. A call may
         # have run already, so a lost connection is never used again.
         if not self._loop.is_closed():
-            self._loop.call_soon_threadsafe(self._settle)
+            self._loop.call_soon_threadsafe(self._lost.set)
 
     @property
     def lost(self) -> bool:
@@ -69,49 +66,45 @@
 
     async def exchange(self, data: bytes, timeout: timedelta) -> bytes | None:
         """Send a call and return the reply, or nothing on time-out or loss."""
-        if self.lost:
-            return None
-        context = self._idle.pop() if self._idle else self._socket.new_context()
+        context = self._socket.new_context()
         self.in_flight += 1
+        exchange = asyncio.create_task(self._send_and_receive(context, data))
+        lost = asyncio.create_task(self._lost.wait())
         try:
-            async with asyncio.timeout(timeout.total_seconds()) as timer:
-                self._timers.add(timer)
-                await context.asend(data)
-                reply: bytes = await context.arecv()
-            self._idle.append(context)
-            return reply
-        except (TimeoutError, pynng.NNGException):
-            # The reply may still arrive, so the context is not used again.
-            context.close()
+            await asyncio.wait(
+                {exchange, lost},
+                timeout=timeout.total_seconds(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if exchange.done() and exchange.exception() is None:
+                return exchange.result()
             return None
-        except BaseException:
-            context.close()
-            raise
         finally:
-            self._timers.discard(timer)
+            exchange.cancel()
+            lost.cancel()
+            await asyncio.gather(exchange, lost, return_exceptions=True)
+            context.close()
             # Counted until here, because the socket must close after its contexts.
             self.in_flight -= 1
 
+    @staticmethod
+    async def _send_and_receive(context: "pynng.Context", data: bytes) -> bytes:
+        await context.asend(data)
+        reply: bytes = await context.arecv()
+        return reply
+
     def abandon(self) -> None:
         """Settle all calls in flight as lost."""
-        self._settle()
-
-    def _settle(self) -> None:
         self._lost.set()
-        for timer in self._timers:
-            if not timer.expired():
-                timer.reschedule(self._loop.time())
 
     async def close(self) -> None:
         """Close the socket once no call uses it."""
         if self.closed:
             return
         self.closed = True
-        self._settle()
+        self._lost.set()
         while self.in_flight:
-            await asyncio.sleep(CLOSE_POLL_SECONDS)
-        for context in self._idle:
-            context.close()
+            await asyncio.sleep(0)
         self._socket.close()
 
 
