Use one arithmetic of resources and one way to limit a request's time

Cause: fits, add and subtract stood in jobs and in policy, the deadline of a request in entry and idempotency (found with duplicates).

--- a/bench/policy/policies.py
+++ b/bench/policy/policies.py
@@ -12,12 +12,12 @@
     RunningTask,
     Wait,
     WaitingTask,
-    fits,
 )
 from egretcrank.policy.quotas import Quota
 from egretcrank.policy.reaction import Action, Evict, Throttle
 from egretcrank.policy.scheduler import Outcome, Scheduler
 from egretcrank.wire.messages import Resources
+from egretcrank.wire.resources import fits
 
 # Measured slowdown at which the reactive baseline evicts, and how often it does.
 REACTIVE_SLOWDOWN = 0.5
--- a/bench/standins/worker.py
+++ b/bench/standins/worker.py
@@ -25,8 +25,8 @@
     WorkerTask,
     WorkerView,
 )
-from egretcrank.jobs.model import add_resources, fits
 from egretcrank.wire.messages import Resources
+from egretcrank.wire.resources import add_resources, fits
 
 FAIL_SECONDS = 0.05
 USAGE_PERIOD_SECONDS = 1.0
--- a/src/egretcrank/entry/requests.py
+++ b/src/egretcrank/entry/requests.py
@@ -20,6 +20,7 @@
 from egretcrank.routing.selection import Choice, Selector
 from egretcrank.settings.schema import Settings
 from egretcrank.transport.client import Peers
+from egretcrank.wire.deadlines import limit_time
 from egretcrank.wire.messages import Execute, Executed, Member, MemberStatus, Submit
 
 EJECTION_SUBJECT = "host:{}"
@@ -124,7 +125,7 @@
     async def _send(
         self, request: Execute, choice: Choice, remaining: timedelta
     ) -> Outcome:
-        message = _limit_time(request, remaining)
+        message = limit_time(request, remaining)
         member = choice.member
         self._selector.begin(member.host)
         self._outliers.begin(member)
@@ -153,7 +154,7 @@
         return await self._route.call(
             partition,
             timedelta(seconds=submit.request.timeout_seconds),
-            lambda left: Submit(submit.key, _limit_time(submit.request, left)),
+            lambda left: Submit(submit.key, limit_time(submit.request, left)),
             lambda left: left + SUBMIT_REPLY_MARGIN,
             lambda answer: check_answer(answer, submit.request.request_id),
         )
@@ -221,14 +222,3 @@
         answered = outcome.unwrap()
         return ErrorKind.UPSTREAM_FAILED if answered.status >= 500 else None
     return outcome.failure().kind
-
-
-def _limit_time(request: Execute, remaining: timedelta) -> Execute:
-    return Execute(
-        request.request_id,
-        request.service,
-        request.customer,
-        remaining.total_seconds(),
-        request.content_type,
-        request.body,
-    )
--- a/src/egretcrank/host/capacity.py
+++ b/src/egretcrank/host/capacity.py
@@ -3,8 +3,8 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.jobs.model import add_resources, fits, subtract_resources
 from egretcrank.wire.messages import Resources
+from egretcrank.wire.resources import add_resources, fits, subtract_resources
 
 
 class CapacityLedger:
--- a/src/egretcrank/idempotency/owner.py
+++ b/src/egretcrank/idempotency/owner.py
@@ -24,6 +24,7 @@
 from egretcrank.stream.records import Entry, KeyClaim, KeyOutcome, build_entry
 from egretcrank.transport.client import Peers
 from egretcrank.wire.codec import build_refusal, parse_refusal
+from egretcrank.wire.deadlines import limit_time
 from egretcrank.wire.messages import (
     AbandonAttempt,
     AttemptState,
@@ -316,7 +317,7 @@
         if remaining <= timedelta(0):
             detail = "deadline passed before the dispatch"
             return Failure(Problem(ErrorKind.DEADLINE_BEFORE_START, detail))
-        request = _limit_time(submit.request, remaining)
+        request = limit_time(submit.request, remaining)
         dispatch = ExecuteOnce(
             key=submit.key,
             partition=self.partition,
@@ -720,31 +721,9 @@
     )
 
 
-def _limit_time(request: Execute, remaining: timedelta) -> Execute:
-    return Execute(
-        request.request_id,
-        request.service,
-        request.customer,
-        remaining.total_seconds(),
-        request.content_type,
-        request.body,
-    )
-
-
 def _replay(entry: KeyEntry) -> Outcome:
     if entry.outcome is not None:
-        outcome = entry.outcome
-        return Success(
-            Executed(
-                outcome.request_id,
-                outcome.host,
-                outcome.status,
-                outcome.content_type,
-                outcome.body,
-                outcome.digest,
-                replayed=True,
-            )
-        )
+        return Success(replace(entry.outcome, replayed=True))
     if entry.problem is not None:
         return Failure(parse_refusal(entry.problem))
     raise AssertionError("entry has no outcome")
--- a/src/egretcrank/jobs/model.py
+++ b/src/egretcrank/jobs/model.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
-from egretcrank.wire.messages import Resources, SubmitJob
+from egretcrank.wire.messages import SubmitJob
 
 
 class Repeat(StrEnum):
@@ -83,30 +83,3 @@
     """Split the identifier of a task into job and task name."""
     job, _, name = task.partition("/")
     return job, name
-
-
-def fits(need: Resources, available: Resources) -> bool:
-    """Tell whether ``need`` is within ``available`` in every dimension."""
-    return (
-        need.processors <= available.processors
-        and need.memory_mib <= available.memory_mib
-        and need.accelerators <= available.accelerators
-    )
-
-
-def add_resources(first: Resources, second: Resources) -> Resources:
-    """Add two amounts."""
-    return Resources(
-        first.processors + second.processors,
-        first.memory_mib + second.memory_mib,
-        first.accelerators + second.accelerators,
-    )
-
-
-def subtract_resources(first: Resources, second: Resources) -> Resources:
-    """Subtract the second amount from the first."""
-    return Resources(
-        first.processors - second.processors,
-        first.memory_mib - second.memory_mib,
-        first.accelerators - second.accelerators,
-    )
--- a/src/egretcrank/jobs/placing.py
+++ b/src/egretcrank/jobs/placing.py
@@ -4,19 +4,12 @@
 
 from egretcrank.jobs.context import OwnerContext, run_bounded
 from egretcrank.jobs.interfaces import Placement, Placing, WaitingTask
-from egretcrank.jobs.model import (
-    Ending,
-    JobState,
-    Repeat,
-    TaskState,
-    add_resources,
-    build_task_id,
-    fits,
-)
+from egretcrank.jobs.model import Ending, JobState, Repeat, TaskState, build_task_id
 from egretcrank.jobs.orders import TaskOrders
 from egretcrank.jobs.reports import ReportRecorder
 from egretcrank.observability.decisions import Decision
 from egretcrank.wire.messages import Resources, TaskReport, TaskSpec
+from egretcrank.wire.resources import add_resources, fits
 
 # Keeps a pass from asking the same full host again at once.
 REFUSAL_PAUSE = timedelta(seconds=0.5)
--- a/src/egretcrank/policy/placement.py
+++ b/src/egretcrank/policy/placement.py
@@ -9,6 +9,7 @@
 from egretcrank.policy.interference import Estimate
 from egretcrank.policy.sizes import cut_bound
 from egretcrank.wire.messages import Resources
+from egretcrank.wire.resources import fits
 
 # A task is not started below this share of its processors: it would hold memory for
 # little progress.
@@ -132,15 +133,6 @@
 Predict = Callable[[HostView], Outlook]
 
 
-def fits(wanted: Resources, free: Resources) -> bool:
-    """Tell whether ``wanted`` fits into ``free``."""
-    return (
-        wanted.processors <= free.processors
-        and wanted.memory_mib <= free.memory_mib
-        and wanted.accelerators <= free.accelerators
-    )
-
-
 def choose_host(
     task: WaitingTask,
     bound: Resources,
--- a/src/egretcrank/policy/quotas.py
+++ b/src/egretcrank/policy/quotas.py
@@ -4,9 +4,10 @@
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
-from egretcrank.policy.placement import HostView, RunningTask, WaitingTask, fits
+from egretcrank.policy.placement import HostView, RunningTask, WaitingTask
 from egretcrank.policy.sizes import cut_bound
 from egretcrank.wire.messages import Resources
+from egretcrank.wire.resources import add_resources, fits, subtract_resources
 
 # A task that would lose more work than this in seconds is not preempted.
 LARGEST_LOSS_SECONDS = 1800.0
@@ -113,31 +114,15 @@
     for task in sorted(evictable, key=lambda task: (losses[task.task], task.task)):
         if fits(wanted, free):
             break
-        free = _add(free, task.reserved)
+        free = add_resources(free, task.reserved)
         chosen.append(task)
     if not fits(wanted, free):
         return None
     # A task that was chosen early may no longer be needed.
     for task in sorted(chosen, key=lambda task: -losses[task.task]):
-        smaller = _subtract(free, task.reserved)
+        smaller = subtract_resources(free, task.reserved)
         if fits(wanted, smaller):
             free = smaller
             chosen.remove(task)
     loss = sum(losses[task.task] for task in chosen)
     return Preemption(host.host, tuple(task.task for task in chosen), loss)
-
-
-def _add(left: Resources, right: Resources) -> Resources:
-    return Resources(
-        left.processors + right.processors,
-        left.memory_mib + right.memory_mib,
-        left.accelerators + right.accelerators,
-    )
-
-
-def _subtract(left: Resources, right: Resources) -> Resources:
-    return Resources(
-        left.processors - right.processors,
-        left.memory_mib - right.memory_mib,
-        left.accelerators - right.accelerators,
-    )
--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -29,7 +29,6 @@
     choose_host,
     choose_spread,
     find_upper,
-    fits,
 )
 from egretcrank.policy.quotas import (
     Preemption,
@@ -39,6 +38,7 @@
 )
 from egretcrank.policy.reaction import Action, Pressure, Reaction
 from egretcrank.policy.sizes import SizeEstimates
+from egretcrank.wire.resources import fits
 
 # Slowdown of a service that is tolerated by a plan that gives tail latency no weight.
 LARGEST_BUDGET = 0.28
--- a/src/egretcrank/sidecar/jobs.py
+++ b/src/egretcrank/sidecar/jobs.py
@@ -9,7 +9,6 @@
 
 from egretcrank.clock import Clock
 from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.jobs.model import add_resources
 from egretcrank.jobs.owner import JobMessage, JobOwner
 from egretcrank.jobs.summary import WorkSummary, combine
 from egretcrank.lists.state import ListsState
@@ -31,6 +30,7 @@
     SubmitJob,
     TaskEvents,
 )
+from egretcrank.wire.resources import add_resources
 
 logger = logging.getLogger(__name__)
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -29,13 +29,13 @@
     Weights,
     choose_host,
     find_upper,
-    fits,
 )
 from egretcrank.policy.quotas import Quota, choose_preemption, order_waiting
 from egretcrank.policy.reaction import Evict, Move, Pressure, Reaction, Throttle
 from egretcrank.policy.scheduler import Outcome, Scheduler
 from egretcrank.policy.sizes import IGNORANT_FACTOR, SizeEstimates, cut_bound
 from egretcrank.wire.messages import Resources
+from egretcrank.wire.resources import fits
 from tests.cases import ManualClock
 
 WHOLE = Resources(5.0, 36000.0, 2.0)
