Split the owner of keys by concern

Cause: one module had 759 lines with the context, the questions to executors and the held keys beside the handling of requests. Change: context, inquiry and held are modules of their own; behaviour and tests are unchanged but for an import.

--- a/src/egretcrank/idempotency/owner.py
+++ b/src/egretcrank/idempotency/owner.py
@@ -2,31 +2,28 @@
 
 import asyncio
 import logging
-import random
-from collections.abc import Callable, Coroutine, Sequence
-from dataclasses import dataclass, field, replace
-from datetime import datetime, timedelta
-from typing import Any, NamedTuple
+from collections.abc import Coroutine, Sequence
+from dataclasses import replace
+from datetime import timedelta
+from typing import Any
 
 import xxhash
 from returns.result import Failure, Result, Success
 
-from egretcrank.clock import Clock
 from egretcrank.errors.answers import was_not_run
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.idempotency.context import Outcome, OwnerContext, Takeover
 from egretcrank.idempotency.digests import compute_digest, read_creation_time
+from egretcrank.idempotency.held import HeldKey, build_held_entry, may_have_run
+from egretcrank.idempotency.inquiry import AttemptInquiry, read_state
 from egretcrank.idempotency.state import KeyEntry, KeysState
-from egretcrank.observability.decisions import Decision, DecisionLog
-from egretcrank.routing.selection import Selector
-from egretcrank.settings.schema import LogOutage, Settings
-from egretcrank.stream.appender import Appender
-from egretcrank.stream.reader import StreamReader, describe_outage
+from egretcrank.observability.decisions import Decision
+from egretcrank.settings.schema import LogOutage
+from egretcrank.stream.reader import describe_outage
 from egretcrank.stream.records import Entry, KeyClaim, KeyOutcome, build_entry
-from egretcrank.transport.client import Peers
 from egretcrank.wire.codec import build_refusal, parse_refusal
 from egretcrank.wire.deadlines import limit_time
 from egretcrank.wire.messages import (
-    AbandonAttempt,
     AttemptState,
     Execute,
     Executed,
@@ -34,64 +31,19 @@
     FenceReply,
     HeldAttempt,
     Member,
-    MemberStatus,
     Submit,
 )
 
 MAX_ATTEMPTS = 8
 RESOLVE_INTERVAL = timedelta(milliseconds=250)
 RESOLVE_LIMIT = timedelta(seconds=60)
-ABANDON_TIMEOUT = timedelta(seconds=1)
 REPLY_MARGIN = timedelta(milliseconds=500)
 HELD_APPEND_LIMIT = timedelta(hours=24)
 MAX_CLOCK_SKEW = timedelta(seconds=5)
 
-Outcome = Result[Executed, Problem]
-
 logger = logging.getLogger(__name__)
 
 
-class OwnerContext(NamedTuple):
-    """What an owner of a partition needs from its process."""
-
-    settings: Settings
-    clock: Clock
-    peers: Peers
-    members: Callable[[], Sequence[MemberStatus]]
-    decisions: DecisionLog
-    appender: Appender
-    reader: StreamReader
-    generator: random.Random
-    selector: Selector
-
-
-@dataclass(slots=True)
-class HeldKey:
-    """Records of a key that wait for the log, and what is known of its newest attempt.
-
-    Without an outcome the attempt is still running.
-    """
-
-    records: list[Entry] = field(default_factory=list)
-    digest: str = ""
-    last: KeyEntry | None = None
-    was_not_run: bool = False
-    outcome: Outcome | None = None
-
-
-@dataclass(slots=True)
-class Takeover:
-    """What is known of the former owner's held attempts.
-
-    ``complete_at`` is the wall-clock time at which this owner may serve keys of
-    services with ``log_outage = hold``; ``gap`` tells that held attempts may be
-    unknown.
-    """
-
-    complete_at: datetime | None = None
-    gap: bool = False
-
-
 class KeyOwner:
     """Owner of the keys of one partition under one epoch.
 
@@ -106,6 +58,7 @@
         self.takeover = Takeover()
         self._keys = keys
         self._context = context
+        self._inquiry = AttemptInquiry(partition, epoch, context)
         self._host = context.settings.process.name
         self._running: dict[str, tuple[str, asyncio.Task[Outcome]]] = {}
         self._background: set[asyncio.Task[None]] = set()
@@ -353,8 +306,8 @@
             problem = describe_outage(self._context.reader.stream)
             return await self._close_not_run(entry.key, entry.attempt, problem)
         while True:
-            state = await self._ask(entry)
-            outcome = self._read_state(state, entry)
+            state = await self._inquiry.ask(entry)
+            outcome = read_state(state, entry)
             if outcome is not None:
                 if isinstance(outcome, Failure) and was_not_run(outcome.failure().kind):
                     return await self._close_not_run(
@@ -368,42 +321,6 @@
                 return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, detail, entry.key))
             await self._context.clock.sleep(RESOLVE_INTERVAL)
 
-    async def _ask(self, entry: KeyEntry) -> AttemptState | None:
-        """Ask the executor of an attempt; ``None`` if it does not answer."""
-        member = self._find_member(entry.host)
-        if member is None:
-            return None
-        if member.incarnation != entry.incarnation:
-            return AttemptState("unknown", member.incarnation)
-        # Control messages use another connection than the dispatch did.
-        reply = await self._context.peers.call(
-            member.control_address,
-            AbandonAttempt(
-                entry.key, self.partition, self.epoch, entry.attempt, entry.incarnation
-            ),
-            ABANDON_TIMEOUT,
-        )
-        match reply:
-            case Success(AttemptState() as state):
-                return state
-            case _:
-                return None
-
-    @staticmethod
-    def _read_state(state: AttemptState | None, entry: KeyEntry) -> Outcome | None:
-        match state:
-            case None | AttemptState(state="running"):
-                return None
-            case AttemptState(state="not_started"):
-                return Failure(Problem(ErrorKind.TOMBSTONED, "attempt did not start"))
-            case AttemptState(state="finished", outcome=Executed() as executed):
-                return Success(executed)
-            case AttemptState(state="finished", problem=refusal) if refusal:
-                return Failure(parse_refusal(refusal))
-            case _:
-                detail = f"{entry.host} was restarted since it took the attempt"
-                return Failure(Problem(ErrorKind.OUTCOME_UNKNOWN, detail, entry.key))
-
     async def _close_not_run(
         self, key: str, number: int, problem: Problem
     ) -> Outcome | None:
@@ -423,7 +340,7 @@
         async def resolve() -> None:
             limit = self._context.clock.monotonic() + RESOLVE_LIMIT
             while self._context.clock.monotonic() < limit and not self._closed:
-                outcome = self._read_state(await self._ask(entry), entry)
+                outcome = read_state(await self._inquiry.ask(entry), entry)
                 if outcome is not None:
                     await self._record(entry.key, entry.attempt, outcome)
                     return
@@ -484,11 +401,11 @@
         held.outcome = None
         held.was_not_run = False
         held.records.append(claim)
-        entry = self._build_held_entry(claim)
+        entry = build_held_entry(claim)
         self._undispatched.discard((entry.key, entry.attempt))
         outcome = await self._send(submit, entry.attempt, member, deadline, held=True)
         while outcome is None:
-            outcome = self._read_state(await self._ask(entry), entry)
+            outcome = read_state(await self._inquiry.ask(entry), entry)
             if outcome is None and self._context.clock.monotonic() >= deadline:
                 detail = f"{entry.host} has not told the outcome of the attempt"
                 outcome = Failure(
@@ -505,22 +422,6 @@
         self._flush_held(submit.key)
         return outcome
 
-    @staticmethod
-    def _build_held_entry(claim: Entry) -> KeyEntry:
-        match claim.record:
-            case KeyClaim() as record:
-                return KeyEntry(
-                    record.key,
-                    record.attempt,
-                    record.host,
-                    record.incarnation,
-                    record.digest,
-                    record.service,
-                    True,
-                    record.claimed_at,
-                )
-        raise AssertionError("held record is not a claim")
-
     def _flush_held(self, key: str) -> None:
         """Append the held records of a key in order once the log is back."""
 
@@ -565,7 +466,7 @@
                 entry = self._keys.find(attempt.key)
                 if attempt.held and (entry is None or entry.attempt < attempt.attempt):
                     known = newest.get(attempt.key)
-                    if _may_have_run(attempt) and (
+                    if may_have_run(attempt) and (
                         known is None or known[1].attempt < attempt.attempt
                     ):
                         newest[attempt.key] = reply, attempt
@@ -607,17 +508,17 @@
         )
         held.records.append(claim)
         held.digest = attempt.digest
-        asked = replace(self._build_held_entry(claim), attempt=attempt.attempt)
-        recorded = self._build_held_entry(claim)
+        asked = replace(build_held_entry(claim), attempt=attempt.attempt)
+        recorded = build_held_entry(claim)
 
         async def resolve() -> None:
             reported = AttemptState(
                 attempt.state, reply.incarnation, attempt.outcome, attempt.problem
             )
-            outcome = self._read_state(reported, asked)
+            outcome = read_state(reported, asked)
             limit = self._context.clock.monotonic() + RESOLVE_LIMIT
             while outcome is None and self._context.clock.monotonic() < limit:
-                outcome = self._read_state(await self._ask(asked), asked)
+                outcome = read_state(await self._inquiry.ask(asked), asked)
                 if outcome is None:
                     await self._context.clock.sleep(RESOLVE_INTERVAL)
             if outcome is None:
@@ -648,12 +549,6 @@
         task.add_done_callback(self._background.discard)
         return task
 
-    def _find_member(self, host: str) -> Member | None:
-        for status in self._context.members():
-            if status.member.host == host:
-                return status.member
-        return None
-
     def _record_choice(
         self, key: str, number: int, member: Member, alternatives: Sequence[str]
     ) -> None:
@@ -708,12 +603,6 @@
 )
 
 
-def _may_have_run(attempt: HeldAttempt) -> bool:
-    if attempt.state == "finished" and attempt.problem is not None:
-        return not was_not_run(parse_refusal(attempt.problem).kind)
-    return attempt.state != "not_started"
-
-
 def _is_whole(executed: Executed, request: Execute) -> bool:
     return (
         executed.request_id == request.request_id
--- a/src/egretcrank/sidecar/partitions.py
+++ b/src/egretcrank/sidecar/partitions.py
@@ -12,7 +12,8 @@
 
 from egretcrank.clock import Clock
 from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.idempotency.owner import KeyOwner, OwnerContext
+from egretcrank.idempotency.context import OwnerContext
+from egretcrank.idempotency.owner import KeyOwner
 from egretcrank.membership.announcer import Announcer
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.ownership.partitions import find_partition, find_shard
--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -12,7 +12,8 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.host.requests import RequestExecutor
 from egretcrank.host.upstream import UpstreamAnswer
-from egretcrank.idempotency.owner import KeyOwner, OwnerContext
+from egretcrank.idempotency.context import OwnerContext
+from egretcrank.idempotency.owner import KeyOwner
 from egretcrank.observability.decisions import DecisionLog
 from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.work import WorkState
