--- a/src/egretcrank/jobs/context.py
+++ b/src/egretcrank/jobs/context.py
@@ -20,6 +20,7 @@
 )
 from egretcrank.jobs.model import (
     JobState,
+    Repeat,
     Report,
     TaskState,
     build_task_id,
@@ -222,6 +223,7 @@
                     placement.host,
                     spec.resources,
                     placement.progress,
+                    job.spec.repeat != Repeat.NEVER,
                 )
             )
         return placed
--- a/src/egretcrank/jobs/interfaces.py
+++ b/src/egretcrank/jobs/interfaces.py
@@ -57,7 +57,11 @@
 
 
 class PlacedTask(NamedTuple):
-    """A task that this owner has placed, for policies that preempt."""
+    """A task that this owner has placed, for policies that preempt.
+
+    A task that must not repeat is not preemptible: an eviction that goes wrong would
+    leave its outcome unknown.
+    """
 
     task: str
     customer: str
@@ -66,6 +70,7 @@
     host: str
     resources: Resources
     progress: float
+    preemptible: bool = True
 
 
 class Placing(NamedTuple):
--- a/src/egretcrank/jobs/owner.py
+++ b/src/egretcrank/jobs/owner.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable, Sequence
 from datetime import timedelta
 from uuid import uuid4
@@ -60,6 +61,8 @@
 # record can be folded after its append was given up.
 IDLE_PASS_INTERVAL = timedelta(seconds=1)
 
+logger = logging.getLogger(__name__)
+
 
 class JobOwner:
     """Accepts jobs of a partition and has each task run to its one end.
@@ -139,7 +142,13 @@
     async def run(self) -> None:
         """Place and supervise tasks until cancelled."""
         while True:
-            await self.step()
+            try:
+                await self.step()
+            except Exception:
+                # A defect that one task meets must not stop all jobs of the partition.
+                logger.exception(
+                    "pass failed", extra={"partition": self._context.partition}
+                )
             interval = PASS_INTERVAL if self._has_work() else IDLE_PASS_INTERVAL
             timer = asyncio.ensure_future(self._context.clock.sleep(interval))
             wake = asyncio.ensure_future(self._context.wake.wait())
--- a/src/egretcrank/policy/scheduler.py
+++ b/src/egretcrank/policy/scheduler.py
@@ -38,6 +38,7 @@
 )
 from egretcrank.policy.reaction import Action, Pressure, Reaction
 from egretcrank.policy.sizes import SizeEstimates
+from egretcrank.wire.messages import Resources
 from egretcrank.wire.resources import fits
 
 # Slowdown of a service that is tolerated by a plan that gives tail latency no weight.
@@ -152,10 +153,21 @@
         self, task: WaitingTask, members_view: Sequence[HostView]
     ) -> Preemption | None:
         """Choose tasks to evict so that an urgent task can start."""
+        bound = self._sizes.bound(task.kind, task.declared)
+        return self._preempt_for(task, bound, members_view)
+
+    def preempt_unmeasured(
+        self, task: WaitingTask, members_view: Sequence[HostView]
+    ) -> Preemption | None:
+        """Choose tasks to evict as ``place_unmeasured`` places, by declared sizes."""
+        return self._preempt_for(task, task.declared, members_view)
+
+    def _preempt_for(
+        self, task: WaitingTask, bound: Resources, members_view: Sequence[HostView]
+    ) -> Preemption | None:
         if not task.urgent:
             return None
         usable = [host for host in members_view if self._is_usable(host)]
-        bound = self._sizes.bound(task.kind, task.declared)
         time = self._clock.monotonic()
         losses = {
             name: (time - running.checkpointed).total_seconds()
--- a/src/egretcrank/sidecar/placement.py
+++ b/src/egretcrank/sidecar/placement.py
@@ -35,11 +35,17 @@
             if status.liveness == ALIVE and status.member.state == "serving"
         ]
         # Nothing feeds usage reports to the scheduler, so every pair is unknown.
-        chosen = self._scheduler.place_unmeasured(_build_waiting(task), hosts)
+        waiting = _build_waiting(task)
+        chosen = self._scheduler.place_unmeasured(waiting, hosts)
         others = tuple(other.host for other in chosen.alternatives)
         match chosen:
             case policy.Placement():
                 return Placing(chosen.host, chosen.reason, others)
+            case policy.Wait() if preemption := self._scheduler.preempt_unmeasured(
+                waiting, hosts
+            ):
+                reason = f"urgent; {len(preemption.tasks)} tasks give way"
+                return Placing(preemption.host, reason, others, preemption.tasks)
             case policy.Wait():
                 return Placing(None, chosen.reason, others)
 
@@ -63,7 +69,11 @@
 def _build_running(task: PlacedTask) -> policy.RunningTask:
     job, _ = split_task_id(task.task)
     return policy.RunningTask(
-        task.task, job, task.kind, task.resources, urgent=task.urgent
+        task.task,
+        job,
+        task.kind,
+        task.resources,
+        urgent=task.urgent or not task.preemptible,
     )
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -264,3 +264,30 @@
     async def wait_briefly(self):
         for _ in range(50):
             await asyncio.sleep(0)
+
+
+class PreemptionTest(AsyncTestCase):
+    def choose(self, *, urgent, preemptible=True):
+        """Place a task while one host is filled by another task."""
+        placement = CountingPlacement()
+        running = WaitingTask("j/low", "a", "indexing", False, SIZE, 60.0)
+        placement.record_start(running, "host-0")
+        member = Member(host="host-0", capacity=SIZE, free=Resources())
+        placed = PlacedTask(
+            "j/low", "a", "indexing", False, "host-0", SIZE, 0.0, preemptible
+        )
+        waiting = WaitingTask("k/task", "b", "bundle", urgent, SIZE, 1.0)
+        return placement.place(waiting, [MemberStatus(member)], [placed])
+
+    def test_urgent_task_takes_the_place_of_another(self):
+        """Guards against urgent work that waits until others have finished."""
+        choice = self.choose(urgent=True)
+        self.assertEqual(("host-0", ("j/low",)), (choice.host, choice.evict))
+
+    def test_only_urgent_tasks_preempt_and_reviews_never_give_way(self):
+        """Guards against evictions that put a review at risk or help nobody."""
+        for choice in (
+            self.choose(urgent=False),
+            self.choose(urgent=True, preemptible=False),
+        ):
+            self.assertEqual((None, ()), (choice.host, choice.evict))
