--- a/src/egretcrank/entry/daemon.py
+++ b/src/egretcrank/entry/daemon.py
@@ -27,9 +27,9 @@
 from egretcrank.ownership.state import OwnersState
 from egretcrank.routing.admission import Admission, Weight
 from egretcrank.settings.schema import Settings
+from egretcrank.stream.access import LogAccess
 from egretcrank.stream.client import HttpLogClient
 from egretcrank.stream.exchange import StateExchange, answer_fetch
-from egretcrank.stream.reader import Fold, StreamReader
 from egretcrank.transport.client import Peers
 from egretcrank.transport.server import Server
 from egretcrank.transport.threads import ThreadBridge
@@ -82,9 +82,12 @@
         self._directory = Directory(settings.process.name, settings.cluster, clock)
         self._exchange = StateExchange(self._peers, self._list_state_sources)
         self._owners = OwnersState()
-        self._owners_reader = self._build_reader("owners", self._owners)
+        access = LogAccess(
+            self._log, settings.log, clock, self._metrics, self._exchange.fetch
+        )
+        self._owners_reader = access.build_reader("owners", self._owners)
         self._lists = ListsState()
-        self._lists_reader = self._build_reader("lists", self._lists)
+        self._lists_reader = access.build_reader("lists", self._lists)
         route = OwnerRoute(self._owners, self._peers, clock)
         self._router = RequestRouter(
             settings,
@@ -101,17 +104,6 @@
         self._state = "serving"
         self._stop = asyncio.Event()
 
-    def _build_reader(self, stream: str, fold: Fold) -> StreamReader:
-        return StreamReader(
-            stream,
-            self._log,
-            fold,
-            self._settings.log,
-            self._clock,
-            self._metrics,
-            self._exchange.fetch,
-        )
-
     def _list_state_sources(self) -> list[str]:
         own = self._settings.process.control_address
         entries = [a for a in self._settings.cluster.entries if a != own]
--- a/src/egretcrank/ownership/shards.py
+++ b/src/egretcrank/ownership/shards.py
@@ -4,15 +4,12 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from egretcrank.clock import Clock
-from egretcrank.observability.metrics import Metrics
 from egretcrank.ownership.partitions import name_work_stream
 from egretcrank.ownership.work import WorkState
-from egretcrank.settings.schema import Settings
+from egretcrank.settings.schema import ClusterSettings
+from egretcrank.stream.access import LogAccess
 from egretcrank.stream.appender import Appender
-from egretcrank.stream.client import LogClient
-from egretcrank.stream.maintenance import SnapshotWriter
-from egretcrank.stream.reader import PeerStateSource, StreamReader
+from egretcrank.stream.reader import StreamReader
 
 
 class Shard(NamedTuple):
@@ -31,19 +28,13 @@
 
     def __init__(
         self,
-        settings: Settings,
-        client: LogClient,
-        clock: Clock,
-        metrics: Metrics,
+        settings: ClusterSettings,
+        access: LogAccess,
         is_responsible: Callable[[int], bool],
-        peer_state: PeerStateSource | None = None,
     ) -> None:
-        self._is_responsible = is_responsible
         self._settings = settings
-        self._client = client
-        self._clock = clock
-        self._metrics = metrics
-        self._peer_state = peer_state
+        self._access = access
+        self._is_responsible = is_responsible
         self._shards: dict[int, Shard] = {}
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -59,29 +50,14 @@
         return dict(self._shards)
 
     def _start(self, number: int) -> Shard:
-        state = WorkState(self._settings.cluster)
-        reader = StreamReader(
-            name_work_stream(number),
-            self._client,
-            state,
-            self._settings.log,
-            self._clock,
-            self._metrics,
-            self._peer_state,
-        )
-        appender = Appender(
-            self._client, reader, self._settings.log, self._clock, self._metrics
-        )
-        self._tasks.append(asyncio.create_task(reader.run()))
-        self._tasks.append(asyncio.create_task(appender.run()))
-        writer = SnapshotWriter(
-            reader,
-            appender,
-            self._settings.log,
-            self._clock,
-            lambda: self._is_responsible(number),
+        state = WorkState(self._settings)
+        reader = self._access.build_reader(name_work_stream(number), state)
+        appender = self._access.build_appender(reader)
+        writer = self._access.build_snapshot_writer(
+            reader, appender, lambda: self._is_responsible(number)
         )
-        self._tasks.append(asyncio.create_task(writer.run()))
+        for part in (reader, appender, writer):
+            self._tasks.append(asyncio.create_task(part.run()))
         return Shard(state, reader, appender)
 
     async def close(self) -> None:
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -26,11 +26,10 @@
 from egretcrank.settings.schema import Settings
 from egretcrank.sidecar.jobs import OwnedJobs
 from egretcrank.sidecar.partitions import OwnedPartitions
-from egretcrank.stream.appender import Appender
+from egretcrank.stream.access import LogAccess
 from egretcrank.stream.client import HttpLogClient
 from egretcrank.stream.exchange import StateExchange, answer_fetch
-from egretcrank.stream.maintenance import SnapshotWriter
-from egretcrank.stream.reader import Fold, StreamReader, Verdict
+from egretcrank.stream.reader import StreamReader, Verdict
 from egretcrank.stream.records import OwnerClaim, Record
 from egretcrank.transport.client import Peers
 from egretcrank.transport.server import Server
@@ -108,20 +107,27 @@
         self._peers = Peers(settings.process.name, clock, self._traffic)
         self._exchange = StateExchange(self._peers, self._list_state_sources)
         self._owners = OwnersState()
-        self._owners_reader = self._build_reader("owners", self._owners)
+        access = LogAccess(
+            self._log, settings.log, clock, self._metrics, self._exchange.fetch
+        )
+        self._owners_reader = access.build_reader("owners", self._owners)
         self._lists = ListsState()
-        self._lists_reader = self._build_reader("lists", self._lists)
+        self._lists_reader = access.build_reader("lists", self._lists)
         self._owners_reader.listen(self._notice_owner)
-        self._owners_appender = self._build_appender(self._owners_reader)
-        self._lists_appender = self._build_appender(self._lists_reader)
-        self._shards = Shards(
-            settings,
-            self._log,
-            clock,
-            self._metrics,
-            self._is_responsible,
-            self._exchange.fetch,
-        )
+        self._owners_appender = access.build_appender(self._owners_reader)
+        self._lists_appender = access.build_appender(self._lists_reader)
+        self._snapshot_writers = [
+            access.build_snapshot_writer(
+                reader,
+                appender,
+                lambda: self._is_responsible(SHARED_STREAMS_PARTITION),
+            )
+            for reader, appender in (
+                (self._owners_reader, self._owners_appender),
+                (self._lists_reader, self._lists_appender),
+            )
+        ]
+        self._shards = Shards(settings.cluster, access, self._is_responsible)
         self._state = "serving"
         self._announcer = Announcer(
             self._describe_member, settings.cluster, self._peers, clock
@@ -198,33 +204,6 @@
         reply = await self._peers.call(owner.address, events, EVENTS_TIMEOUT)
         return isinstance(reply, Success)
 
-    def _build_reader(self, stream: str, fold: Fold) -> StreamReader:
-        return StreamReader(
-            stream,
-            self._log,
-            fold,
-            self._settings.log,
-            self._clock,
-            self._metrics,
-            self._exchange.fetch,
-        )
-
-    def _build_appender(self, reader: StreamReader) -> Appender:
-        return Appender(
-            self._log, reader, self._settings.log, self._clock, self._metrics
-        )
-
-    def _build_snapshot_writer(
-        self, reader: StreamReader, appender: Appender
-    ) -> SnapshotWriter:
-        return SnapshotWriter(
-            reader,
-            appender,
-            self._settings.log,
-            self._clock,
-            lambda: self._is_responsible(SHARED_STREAMS_PARTITION),
-        )
-
     def _is_responsible(self, partition: int) -> bool:
         """Tell whether this process writes the snapshots that go with a partition.
 
@@ -266,13 +245,7 @@
             asyncio.create_task(self._lists_reader.run()),
             asyncio.create_task(self._owners_appender.run()),
             asyncio.create_task(self._lists_appender.run()),
-            *(
-                asyncio.create_task(self._build_snapshot_writer(*stream).run())
-                for stream in (
-                    (self._owners_reader, self._owners_appender),
-                    (self._lists_reader, self._lists_appender),
-                )
-            ),
+            *(asyncio.create_task(w.run()) for w in self._snapshot_writers),
             asyncio.create_task(self._announcer.run()),
             asyncio.create_task(self._watch_incarnation()),
             asyncio.create_task(self._claimant.run()),
