Remove unused code; look at the epochs of a message's partitions only

Cause: the read-through found three functions and one field without a caller, and a sidecar walked the table of all owners for each task message, which grows with the number of partitions. Change: the dead code is gone; only the partitions that a message concerns are compared with the log. Behaviour is unchanged; one test only drops the field.

--- a/src/egretcrank/idempotency/context.py
+++ b/src/egretcrank/idempotency/context.py
@@ -1,6 +1,5 @@
 """What the owner of a partition's keys needs from its process."""
 
-import random
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import datetime
@@ -31,7 +30,6 @@
     decisions: DecisionLog
     appender: Appender
     reader: StreamReader
-    generator: random.Random
     selector: Selector
 
 
--- a/src/egretcrank/idempotency/state.py
+++ b/src/egretcrank/idempotency/state.py
@@ -59,14 +59,6 @@
         """Return the entry of a key."""
         return self._keys.get(key)
 
-    def list_unresolved(self) -> tuple[KeyEntry, ...]:
-        """Return the keys whose newest attempt has neither outcome nor problem."""
-        return tuple(
-            entry
-            for entry in self._keys.values()
-            if entry.outcome is None and entry.problem is None
-        )
-
     def __len__(self) -> int:
         return len(self._keys)
 
--- a/src/egretcrank/policy/interference.py
+++ b/src/egretcrank/policy/interference.py
@@ -103,10 +103,6 @@
         while closed and (closed[0].end or time) < time - HISTORY:
             closed.popleft()
 
-    def find_kind(self, task: str) -> str | None:
-        """Return the kind of a running task."""
-        return self._open[task][1].kind if task in self._open else None
-
     def find_share(
         self, host: str, task: str, start: timedelta, end: timedelta
     ) -> float | None:
--- a/src/egretcrank/policy/quotas.py
+++ b/src/egretcrank/policy/quotas.py
@@ -41,17 +41,6 @@
     return max((used / allowed for used, allowed in pairs if allowed > 0), default=0.0)
 
 
-def is_within(quota: Quota, wanted: Resources) -> bool:
-    """Tell whether ``wanted`` may be added without exceeding the quota."""
-    used, allowed = quota.used, quota.allowed
-    pairs = (
-        (used.processors + wanted.processors, allowed.processors),
-        (used.memory_mib + wanted.memory_mib, allowed.memory_mib),
-        (used.accelerators + wanted.accelerators, allowed.accelerators),
-    )
-    return all(total <= limit + 1e-9 for total, limit in pairs if limit > 0)
-
-
 def order_waiting(
     waiting: Sequence[WaitingTask], quotas: Mapping[str, Quota]
 ) -> list[WaitingTask]:
--- a/src/egretcrank/sidecar/daemon.py
+++ b/src/egretcrank/sidecar/daemon.py
@@ -445,8 +445,10 @@
             detail = "this host has no worker"
             return build_refusal(Problem(ErrorKind.NO_CAPACITY, detail))
         # A restarted process knows epochs only from the log.
-        for owner in self._owners.list_owners():
-            self._tasks.raise_epoch(owner.partition, owner.epoch)
+        for partition in _list_partitions(message):
+            owner = self._owners.find_owner(partition)
+            if owner is not None:
+                self._tasks.raise_epoch(partition, owner.epoch)
         return _reply(await self._tasks.handle(message))
 
     def _describe_process(self) -> ProcessStatus:
@@ -476,6 +478,15 @@
     return build_refusal(outcome.failure()) if message is None else message
 
 
+def _list_partitions(message: TaskMessage) -> list[int]:
+    """List the partitions whose owner sent a message."""
+    match message:
+        case RenewSession(sessions):
+            return [session.partition for session in sessions]
+        case _:
+            return [message.session.partition]
+
+
 def _refuse_unsupported(message: Message) -> Message:
     return build_refusal(
         Problem(
--- a/src/egretcrank/sidecar/partitions.py
+++ b/src/egretcrank/sidecar/partitions.py
@@ -65,7 +65,6 @@
         self._peers = peers
         self._clock = clock
         self._decisions = decisions
-        self._random = generator
         self._selector = Selector(settings.process.failure_domain, generator)
         self._open: dict[int, KeyOwner] = {}
         self._completions: set[asyncio.Task[None]] = set()
@@ -137,7 +136,6 @@
             decisions=self._decisions,
             appender=shard.appender,
             reader=shard.reader,
-            generator=self._random,
             selector=self._selector,
         )
         keys = shard.state.find_partition(claimed.partition).keys
--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -221,7 +221,6 @@
             decisions=DecisionLog(world.clock),
             appender=self.appender,
             reader=self.reader,
-            generator=world.random,
             selector=Selector("d", world.random),
         )
         self.owner = None
