--- /dev/null
+++ b/src/egretcrank/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Process beside a runner: carries out orders, keeps leases, paces what fills."""
--- /dev/null
+++ b/src/egretcrank/agent/daemon.py
@@ -0,0 +1,353 @@
+"""Agent process: its threads, and the way from an order to the runner."""
+
+import logging
+import signal
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from uuid import uuid4
+
+from cheroot.wsgi import Server
+from returns.result import Failure, Success
+
+from egretcrank.agent.link import AnnouncementReceiver, LeaderLink, LeaderMessage
+from egretcrank.agent.pace import FIGURE_INTERVAL, PaceChange, PaceController
+from egretcrank.agent.state import AgentState, Identity, Run
+from egretcrank.clock import Clock, SystemClock
+from egretcrank.controller.election import CELL, GROUP
+from egretcrank.errors.kinds import ErrorKind
+from egretcrank.platform.heartbeats import Heartbeat, HeartbeatEndpoint
+from egretcrank.platform.runner import Look, Runner, Started
+from egretcrank.platform.store import Store
+from egretcrank.settings.platform import AgentSettings
+from egretcrank.wire.hosting import (
+    HostOrders,
+    LeaderMoved,
+    NumberedOrder,
+    StartOrder,
+    StopOrder,
+)
+
+REPORT_INTERVAL = timedelta(milliseconds=500)
+# A leader answers each report; two unanswered ones are a reason to look for another.
+SILENT_AFTER = timedelta(milliseconds=1300)
+RECONNECT_INTERVAL = timedelta(milliseconds=700)
+# Ends are listed at once; the wait bounds how old lease and figures get.
+LOOK_WAIT = timedelta(milliseconds=500)
+LOOK_PAUSE_AFTER_FAILURE = timedelta(milliseconds=150)
+# A runner with unacknowledged ends answers at once; acknowledging takes an append.
+LOOK_PAUSE_AFTER_END = timedelta(milliseconds=100)
+# Starts of one order batch run side by side, so that one lost answer delays few.
+ORDER_THREADS = 4
+HEARTBEAT_THREADS = 2
+# A runner that saw a higher token than this clock gives; the step covers clock jumps.
+TOKEN_STEP = 5000
+
+logger = logging.getLogger(__name__)
+
+
+class Agent:
+    """Carries out the orders of the leader on one runner."""
+
+    def __init__(self, settings: AgentSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._lock = threading.RLock()
+        self._store = Store(settings.store.address)
+        self._runner = Runner(settings.runner.address)
+        self._state = AgentState(
+            Identity(settings.host.name, settings.host.peer_address, uuid4().hex[:12])
+        )
+        self._pace = PaceController()
+        self._paced_at = timedelta()
+        self._token = int(clock.now().timestamp() * 1000)
+        self._runner_lost = False
+        self._report_due = threading.Event()
+        self._stopping = threading.Event()
+        self._leader: LeaderMoved | None = None
+        self._connected_at = timedelta()
+        self._link = LeaderLink(settings.host.name, self._take_message)
+        self._announcements = AnnouncementReceiver(
+            settings.host.peer_address, self._take_message
+        )
+        self._pool = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="orders")
+        host, _, port = settings.runner.heartbeat_address.rpartition(":")
+        self._heartbeats = Server(
+            (host, int(port)),
+            HeartbeatEndpoint(self._take_heartbeat, self._take_leave),
+            numthreads=HEARTBEAT_THREADS,
+            max=HEARTBEAT_THREADS,
+        )
+
+    def run(self) -> None:
+        """Run until SIGTERM; the runner's tasks go on until their lease ends."""
+        signal.signal(signal.SIGTERM, lambda *_: self._stopping.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stopping.set())
+        signal.signal(signal.SIGHUP, lambda *_: logger.info("reload is not needed"))
+        self._heartbeats.prepare()
+        for target in (
+            self._heartbeats.serve,
+            self._announcements.run,
+            self._run_looks,
+            self._run_reports,
+        ):
+            threading.Thread(target=target, daemon=True).start()
+        logger.info("started")
+        while not self._stopping.wait(1.0):
+            pass
+        logger.info("stopped")
+
+    # Runner
+
+    def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
+        with self._lock:
+            known = self._state.runner
+            self._state.take_runner(heartbeat.runner)
+            changed = known is None or known.draining != heartbeat.runner.draining
+        if changed:
+            logger.info(
+                "runner known",
+                extra={
+                    "runner": heartbeat.runner.runner_id,
+                    "draining": heartbeat.runner.draining,
+                },
+            )
+            self._report_due.set()
+
+    def _take_leave(self, runner_id: str) -> None:
+        logger.info("runner left", extra={"runner": runner_id})
+
+    def _run_looks(self) -> None:
+        wait = timedelta()
+        while not self._stopping.is_set():
+            if not self._look(wait):
+                wait = timedelta()
+                time.sleep(LOOK_PAUSE_AFTER_FAILURE.total_seconds())
+                continue
+            wait = LOOK_WAIT
+            with self._lock:
+                unacknowledged = self._state.has_ends
+            if unacknowledged:
+                time.sleep(LOOK_PAUSE_AFTER_END.total_seconds())
+
+    def _look(self, wait: timedelta) -> bool:
+        with self._lock:
+            deadline = self._state.find_deadline()
+            token = self._token
+            seen = self._state.durable_ends
+        match self._runner.look(deadline, token, seen, wait):
+            case Success(look):
+                self._note_runner("")
+                self._take_look(look)
+                return True
+            case Failure(problem):
+                if problem.kind is ErrorKind.STALE_EPOCH:
+                    self._raise_token(token)
+                else:
+                    self._note_runner(problem.detail)
+        return False
+
+    def _note_runner(self, problem: str) -> None:
+        if bool(problem) == self._runner_lost:
+            return
+        self._runner_lost = bool(problem)
+        logger.warning(
+            "runner lost" if problem else "runner regained", extra={"detail": problem}
+        )
+
+    def _raise_token(self, refused: int) -> None:
+        """Use a higher token, unless another thread already does."""
+        with self._lock:
+            if self._token == refused:
+                self._token = refused + TOKEN_STEP
+                logger.info("token raised", extra={"token": self._token})
+
+    def _take_look(self, look: Look) -> None:
+        with self._lock:
+            changed = self._state.take_look(look, self._clock.boottime())
+            stops = self._state.list_stops_due()
+            paces = self._adjust_pace()
+            token = self._token
+        if changed:
+            self._report_due.set()
+        for run in stops:
+            self._runner.stop(run.task, run.run, token)
+        for change in paces:
+            self._runner.set_pace(change.task, change.run, change.percent, token)
+
+    def _adjust_pace(self) -> list[PaceChange]:
+        now = self._clock.boottime()
+        if now - self._paced_at < FIGURE_INTERVAL:
+            return []
+        self._paced_at = now
+        before = self._pace.percent
+        changes = self._pace.adjust(self._state.running, self._state.profiles)
+        if self._pace.percent != before and changes:
+            logger.info(
+                "pace", extra={"percent": self._pace.percent, "tasks": len(changes)}
+            )
+        return changes
+
+    # Orders
+
+    def _take_message(self, message: LeaderMessage) -> None:
+        match message:
+            case HostOrders():
+                self._take_orders(message)
+            case LeaderMoved():
+                with self._lock:
+                    known = self._leader.epoch if self._leader else 0
+                    if message.epoch < max(self._state.epoch, known):
+                        return
+                    moved = message.address != self._link.address
+                    self._leader = message
+                if moved:
+                    logger.info(
+                        "leader moved",
+                        extra={"epoch": message.epoch, "address": message.address},
+                    )
+                    self._report_due.set()
+
+    def _take_orders(self, message: HostOrders) -> None:
+        with self._lock:
+            epoch = self._state.epoch
+            orders = self._state.take_orders(message)
+            self._state.confirm_report(message.report_sequence, message.epoch)
+            if message.epoch >= self._state.epoch:
+                self._state.heard_at = self._clock.boottime()
+            if message.epoch > epoch:
+                logger.info("attaching", extra={"epoch": message.epoch})
+                self._report_due.set()
+        for order in orders:
+            self._pool.submit(self._carry_out, order)
+        if orders:
+            self._report_due.set()
+
+    def _carry_out(self, order: NumberedOrder) -> None:
+        try:
+            match order:
+                case NumberedOrder(start=StartOrder() as start):
+                    self._start(start)
+                case NumberedOrder(stop=StopOrder(task, run)):
+                    self._runner.stop(task, run, self._token)
+        except Exception:
+            logger.exception("order failed", extra={"number": order.number})
+
+    def _start(self, order: StartOrder) -> None:
+        run = Run(order.task, order.run)
+        while True:
+            with self._lock:
+                deadline = self._state.find_deadline()
+                draining = self._state.runner is None or self._state.runner.draining
+                token = self._token
+            if deadline is None or draining:
+                self._refuse(run, "draining" if draining else "no authority")
+                return
+            match self._runner.start(order, deadline, token):
+                case Success(Started(clock, "")):
+                    with self._lock:
+                        self._state.mark_started(run, clock)
+                    logger.info("run started", extra={"task": run.task, "run": run.run})
+                    return
+                case Success(Started(_, "fence")):
+                    self._raise_token(token)
+                case Success(Started(_, refusal)):
+                    self._refuse(run, refusal)
+                    return
+                case Failure(problem):
+                    if problem.kind is ErrorKind.UNREACHABLE:
+                        self._refuse(run, "unreachable")
+                    else:
+                        logger.warning(
+                            "start unanswered",
+                            extra={"task": run.task, "detail": problem.detail},
+                        )
+                        self._settle(run)
+                    return
+
+    def _refuse(self, run: Run, reason: str) -> None:
+        with self._lock:
+            self._state.mark_refused(run, reason)
+        logger.info(
+            "start refused",
+            extra={"task": run.task, "run": run.run, "reason": reason},
+        )
+        self._report_due.set()
+
+    def _settle(self, run: Run) -> None:
+        """Find out whether an unanswered start took effect, and forbid that it will.
+
+        Once the runner has seen a higher token, the start does nothing any more.
+        """
+        with self._lock:
+            born = self._state.born
+            self._token += 1
+            token = self._token
+        while not self._stopping.is_set():
+            match self._runner.look(None, token, 0, timedelta()):
+                case Success(look):
+                    self._take_look(look)
+                    self._settle_by(run, look, born)
+                    return
+                case Failure(problem):
+                    if problem.kind is ErrorKind.STALE_EPOCH:
+                        with self._lock:
+                            token = max(self._token, token + 1)
+                            self._token = token
+            time.sleep(LOOK_PAUSE_AFTER_FAILURE.total_seconds())
+
+    def _settle_by(self, run: Run, look: Look, born: int) -> None:
+        listed = any((r.task, r.run) == run for r in look.running)
+        over = any((e.task, e.run) == run for e in look.ended)
+        if look.born == born and (listed or over):
+            with self._lock:
+                self._state.mark_started(run, look.clock)
+            return
+        self._refuse(run, "unanswered")
+
+    # Reports
+
+    def _run_reports(self) -> None:
+        while not self._stopping.is_set():
+            self._report_due.wait(REPORT_INTERVAL.total_seconds())
+            self._report_due.clear()
+            self._choose_leader()
+            with self._lock:
+                report = self._state.build_report(self._clock.boottime())
+            self._link.send(report)
+
+    def _choose_leader(self) -> None:
+        now = self._clock.boottime()
+        with self._lock:
+            leader = self._leader
+            heard_at = self._state.heard_at
+        if leader is not None and leader.address != self._link.address:
+            self._connect(leader.address, now)
+            return
+        last = max(heard_at or timedelta(), self._connected_at)
+        if now - last < (SILENT_AFTER if heard_at else RECONNECT_INTERVAL):
+            return
+        address = self._find_leader()
+        if address:
+            self._connect(address, now)
+
+    def _connect(self, address: str, now: timedelta) -> None:
+        self._connected_at = now
+        logger.info("connecting", extra={"address": address})
+        self._link.connect(address)
+
+    def _find_leader(self) -> str:
+        match self._store.list_owners(GROUP):
+            case Success(owners):
+                for owner in owners:
+                    if owner.partition == CELL and owner.member:
+                        return str(owner.member).partition("#")[0]
+            case Failure(problem):
+                logger.info("leader unknown", extra={"detail": problem.detail})
+        return self._link.address
+
+
+def run_agent(settings: AgentSettings) -> None:
+    """Run an agent until it is told to stop."""
+    Agent(settings, SystemClock()).run()
--- /dev/null
+++ b/src/egretcrank/agent/state.py
@@ -0,0 +1,248 @@
+"""What an agent knows of its runner and of the orders it has taken."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from egretcrank.platform.runner import Look
+from egretcrank.wire.hosting import (
+    EndedTask,
+    HostOrders,
+    HostReport,
+    NumberedOrder,
+    RefusedStart,
+    RunnerFacts,
+    RunningTask,
+    TaskProfile,
+)
+
+# Rates of the runner's clock and of this host's differ by this much at most.
+CLOCK_RATE_FLOOR = 0.98
+# Interval of reports that list everything that runs.
+FULL_INTERVAL = timedelta(seconds=1)
+
+
+class Run(NamedTuple):
+    """A numbered run of a task."""
+
+    task: str
+    run: int
+
+
+class Identity(NamedTuple):
+    """Who reports."""
+
+    host: str
+    address: str
+    incarnation: str
+
+
+class AgentState:
+    """Bookkeeping of an agent; its daemon holds a lock around each call."""
+
+    def __init__(self, identity: Identity) -> None:
+        self._identity = identity
+        self.epoch = 0
+        self.applied = 0
+        self.authority_until = timedelta()
+        self.heard_at: timedelta | None = None
+        self.controllers: tuple[str, ...] = ()
+        self.runner: RunnerFacts | None = None
+        self.looked = False
+        self.born = 0
+        self.durable_ends = 0
+        self._seen_ends = 0
+        self._sequence = 0
+        self._full_due = True
+        self._full_at = timedelta()
+        self._clock_base: tuple[int, timedelta] | None = None
+        self._starting: set[Run] = set()
+        self._started: dict[Run, int] = {}
+        self._stopping: set[Run] = set()
+        self._running: dict[Run, RunningTask] = {}
+        self._ended: dict[int, EndedTask] = {}
+        # Refusals with the number of the first report that carried each.
+        self._refused: dict[RefusedStart, int] = {}
+        self._full_sequence = 0
+        self.profiles: dict[str, TaskProfile] = {}
+
+    def _require_full(self) -> None:
+        self._full_due = True
+        self._full_sequence = 0
+
+    # Runner
+
+    def take_runner(self, runner: RunnerFacts) -> None:
+        """Take what the runner says of itself in a heartbeat."""
+        if self.born and runner.born < self.born:
+            return
+        self.runner = runner
+
+    def take_look(self, look: Look, received_at: timedelta) -> bool:
+        """Take a list of runs and ends; tell whether it has something to report."""
+        changed = False
+        if look.born == self.born and self._is_old(look):
+            return False
+        if look.born != self.born:
+            self._forget_life()
+            self.born = look.born
+            changed = True
+        self.looked = True
+        self._clock_base = (look.clock, received_at)
+        listed = {Run(r.task, r.run): r for r in look.running}
+        for run, clock in list(self._started.items()):
+            if run in listed or look.clock > clock:
+                del self._started[run]
+        self._running = listed
+        self._stopping &= set(listed)
+        for ended in look.ended:
+            if ended.number > self.durable_ends and ended.number not in self._ended:
+                self._ended[ended.number] = ended
+                self.profiles.pop(ended.task, None)
+                changed = True
+        return changed
+
+    def _is_old(self, look: Look) -> bool:
+        return self._clock_base is not None and look.clock < self._clock_base[0]
+
+    def _forget_life(self) -> None:
+        """Forget what the runner held in a former life."""
+        self.durable_ends = 0
+        self._seen_ends = 0
+        self._clock_base = None
+        self._started.clear()
+        self._stopping.clear()
+        self._running.clear()
+        self._ended.clear()
+        self._require_full()
+
+    def find_deadline(self) -> int | None:
+        """Return the lease's end on the runner's clock, if there is authority.
+
+        The runner's clock may run slow, so that the same reading comes later there.
+        """
+        if self._clock_base is None:
+            return None
+        clock, read_at = self._clock_base
+        left = (self.authority_until - read_at) * CLOCK_RATE_FLOOR
+        if left <= timedelta():
+            return None
+        return clock + int(left / timedelta(milliseconds=1))
+
+    @property
+    def running(self) -> list[RunningTask]:
+        """Return the tasks of the last look."""
+        return list(self._running.values())
+
+    @property
+    def has_ends(self) -> bool:
+        """Tell whether ends are not acknowledged yet."""
+        return bool(self._ended)
+
+    def list_stops_due(self) -> list[Run]:
+        """Return the runs that were to be stopped and still run."""
+        return [run for run in self._stopping if run in self._running]
+
+    # Orders
+
+    def take_orders(self, message: HostOrders) -> list[NumberedOrder]:
+        """Take orders; return those that are new, each exactly once."""
+        if message.epoch < self.epoch or (
+            message.incarnation != self._identity.incarnation
+        ):
+            return []
+        if message.epoch > self.epoch:
+            self.epoch = message.epoch
+            self.applied = 0
+            self._seen_ends = 0
+            self._require_full()
+        sent_at = timedelta(seconds=message.report_sent_at)
+        authority = sent_at + timedelta(seconds=message.authority_seconds)
+        if message.authority_seconds > 0:
+            self.authority_until = max(self.authority_until, authority)
+        self.controllers = message.controllers or self.controllers
+        if message.born == self.born:
+            self._seen_ends = max(self._seen_ends, message.seen_ends)
+            self.durable_ends = max(self.durable_ends, message.durable_ends)
+            for number in [n for n in self._ended if n <= self.durable_ends]:
+                del self._ended[number]
+        self.profiles.update(message.profiles)
+        new = []
+        for order in message.orders:
+            if order.number != self.applied + 1:
+                continue
+            self.applied = order.number
+            new.append(order)
+            if order.start is not None:
+                self._starting.add(Run(order.start.task, order.start.run))
+                self.profiles[order.start.task] = order.start.profile
+            if order.stop is not None:
+                self._stopping.add(Run(order.stop.task, order.stop.run))
+        return new
+
+    def mark_started(self, run: Run, clock: int) -> None:
+        """Note that the runner has a run; ``clock`` is its reading then."""
+        self._starting.discard(run)
+        if run not in self._running:
+            self._started[run] = clock
+
+    def mark_refused(self, run: Run, reason: str) -> None:
+        """Note that a start had no effect and never will."""
+        self._starting.discard(run)
+        self._refused.setdefault(RefusedStart(run.task, run.run, reason), 0)
+
+    # Reports
+
+    def build_report(self, now: timedelta) -> HostReport:
+        """Build the next report."""
+        self._sequence += 1
+        full = self._full_due or now - self._full_at >= FULL_INTERVAL
+        full = full and self.looked
+        running: tuple[RunningTask, ...] = ()
+        starting: tuple[tuple[str, int], ...] = ()
+        if full:
+            self._full_at = now
+            self._full_sequence = self._full_sequence or self._sequence
+            over = {Run(e.task, e.run) for e in self._ended.values()}
+            unlisted = [
+                RunningTask(run.task, run.run, "", 100, 0)
+                for run in self._started
+                if run not in self._running and run not in over
+            ]
+            running = (*self._running.values(), *unlisted)
+            starting = tuple((run.task, run.run) for run in self._starting)
+        for refusal, first in self._refused.items():
+            self._refused[refusal] = first or self._sequence
+        return HostReport(
+            host=self._identity.host,
+            address=self._identity.address,
+            incarnation=self._identity.incarnation,
+            sequence=self._sequence,
+            epoch=self.epoch,
+            applied=self.applied,
+            sent_at=now.total_seconds(),
+            runner=self.runner if self._knows_life() else None,
+            full=full and self._knows_life(),
+            running=running,
+            starting=starting,
+            ended=tuple(
+                self._ended[n] for n in sorted(self._ended) if n > self._seen_ends
+            ),
+            refused=tuple(self._refused),
+            unprofiled=sum(r.task not in self.profiles for r in self._running),
+        )
+
+    def _knows_life(self) -> bool:
+        """Tell whether heartbeat and look are of the same life of the runner."""
+        return self.runner is not None and self.runner.born == self.born
+
+    def confirm_report(self, sequence: int, epoch: int) -> None:
+        """Note that the leader of an epoch took a report."""
+        if epoch != self.epoch or sequence <= 0:
+            return
+        if self._full_sequence and sequence >= self._full_sequence:
+            self._full_due = False
+        self._refused = {
+            refusal: first
+            for refusal, first in self._refused.items()
+            if not first or first > sequence
+        }
--- a/src/egretcrank/cli/daemons.py
+++ b/src/egretcrank/cli/daemons.py
@@ -2,18 +2,25 @@
 
 import sys
 from pathlib import Path
+from typing import TypeVar
 
 import click
-from returns.result import Failure
+from returns.result import Failure, Result
 
+from egretcrank.agent.daemon import run_agent
+from egretcrank.controller.daemon import run_controller
 from egretcrank.entry.daemon import run_entry
+from egretcrank.errors.kinds import Problem
 from egretcrank.observability.logs import configure_logging
 from egretcrank.settings.parser import load_settings
+from egretcrank.settings.platform import load_agent, load_controller
 from egretcrank.settings.schema import Settings
 from egretcrank.sidecar.daemon import run_sidecar
 
 EXIT_INVALID_SETTINGS = 2
 
+SettingsT = TypeVar("SettingsT")
+
 settings_option = click.option(
     "--settings",
     "path",
@@ -37,8 +44,31 @@
     run_sidecar(_load(path, "sidecar"))
 
 
+@click.command()
+@settings_option
+def controller(path: Path) -> None:
+    """Accept jobs, and lead the cell while elected."""
+    settings = _unwrap(load_controller(path))
+    configure_logging(settings.host.name, settings.host.log_level)
+    run_controller(settings)
+
+
+@click.command()
+@settings_option
+def agent(path: Path) -> None:
+    """Run beside a runner and carry out the leader's orders."""
+    settings = _unwrap(load_agent(path))
+    configure_logging(settings.host.name, settings.host.log_level)
+    run_agent(settings)
+
+
 def _load(path: Path, role: str) -> Settings:
-    result = load_settings(path, role)
+    settings = _unwrap(load_settings(path, role))
+    configure_logging(settings.process.name, settings.process.log_level)
+    return settings
+
+
+def _unwrap(result: Result[SettingsT, tuple[Problem, ...]]) -> SettingsT:
     if isinstance(result, Failure):
         for problem in result.failure():
             click.echo(
@@ -46,6 +76,4 @@
                 err=True,
             )
         sys.exit(EXIT_INVALID_SETTINGS)
-    settings = result.unwrap()
-    configure_logging(settings.process.name, settings.process.log_level)
-    return settings
+    return result.unwrap()
--- a/src/egretcrank/cli/main.py
+++ b/src/egretcrank/cli/main.py
@@ -3,7 +3,7 @@
 import click
 
 from egretcrank import __version__
-from egretcrank.cli.daemons import entry, sidecar
+from egretcrank.cli.daemons import agent, controller, entry, sidecar
 from egretcrank.cli.jobs import jobs
 from egretcrank.cli.lists import lists
 from egretcrank.cli.operations import drain, explain, status
@@ -15,5 +15,15 @@
     """Schedule latency-critical requests and batch work on shared hosts."""
 
 
-for command in (entry, sidecar, lists, jobs, status, explain, drain):
+for command in (
+    controller,
+    agent,
+    entry,
+    sidecar,
+    lists,
+    jobs,
+    status,
+    explain,
+    drain,
+):
     main.add_command(command)
--- a/src/egretcrank/clock.py
+++ b/src/egretcrank/clock.py
@@ -15,6 +15,12 @@
     def monotonic(self) -> timedelta:
         """Return a time that never goes backwards, from an arbitrary origin."""
 
+    def boottime(self) -> timedelta:
+        """Return a monotonic time that goes on while the machine is suspended.
+
+        Leases are reckoned in it: a suspended holder must not think that they last.
+        """
+
     async def sleep(self, delay: timedelta) -> None:
         """Wait for ``delay``."""
 
@@ -30,6 +36,10 @@
         """Return the monotonic time of the operating system."""
         return timedelta(seconds=time.monotonic())
 
+    def boottime(self) -> timedelta:
+        """Return the time since the machine started, suspensions included."""
+        return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
     async def sleep(self, delay: timedelta) -> None:
         """Wait for ``delay`` without blocking the event loop."""
         await asyncio.sleep(max(0.0, delay.total_seconds()))
--- /dev/null
+++ b/src/egretcrank/controller/daemon.py
@@ -0,0 +1,320 @@
+"""Controller process: its threads, and the way from an event to a decision."""
+
+import logging
+import signal
+import threading
+import time
+from datetime import timedelta
+from typing import Any
+from uuid import uuid4
+
+from returns.result import Failure, Success
+
+from egretcrank.clock import Clock, SystemClock
+from egretcrank.controller.committer import Committer
+from egretcrank.controller.election import (
+    CELL,
+    GROUP,
+    JOBS_TOPIC,
+    JOIN_INTERVAL,
+    Appender,
+    Election,
+    Membership,
+)
+from egretcrank.controller.link import AgentLink, announce_leader
+from egretcrank.controller.service import JobService
+from egretcrank.controller.tail import Tail
+from egretcrank.entry.server import build_http_server
+from egretcrank.errors.kinds import ErrorKind
+from egretcrank.platform.ingress import Ingress
+from egretcrank.platform.manifest import (
+    CONFIGURATION_KEY,
+    OPERATOR_PARTITION,
+    OPERATOR_TOPIC,
+    parse_manifest,
+)
+from egretcrank.platform.readiness import ReadinessServer
+from egretcrank.platform.store import Store, encode_keyed
+from egretcrank.scheduling.cell import Cell
+from egretcrank.scheduling.records import (
+    LeaderRecord,
+    RecordKey,
+    RecordKind,
+    encode_record,
+)
+from egretcrank.scheduling.settings import CellSettings
+from egretcrank.scheduling.table import JobTable, StoredValue
+from egretcrank.settings.platform import ControllerSettings
+from egretcrank.settings.schema import EntrySettings
+from egretcrank.wire.hosting import HostReport, LeaderMoved
+
+# Due times, silent hosts and leases are looked at this often.
+TICK = timedelta(milliseconds=100)
+ANNOUNCE_INTERVAL = timedelta(milliseconds=400)
+# What is left of the grace time when the process ends by itself.
+GRACE_MARGIN = timedelta(milliseconds=700)
+CATCH_UP_TIMEOUT = timedelta(seconds=5)
+LEADER_KEY = RecordKey(RecordKind.LEADER, str(CELL))
+
+logger = logging.getLogger(__name__)
+
+
+class Controller:
+    """Accepts jobs; while it leads, it runs the cell."""
+
+    def __init__(self, settings: ControllerSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._lock = threading.Condition()
+        self._store = Store(settings.store.address)
+        self._table = JobTable()
+        self._cell: Cell | None = None
+        self._committer: Committer | None = None
+        self._stopping = threading.Event()
+        self._decision_due = False
+        self._member = f"{settings.host.peer_address}#{uuid4().hex[:8]}"
+        self._jobs_tail = Tail(self._store, JOBS_TOPIC, CELL, clock, self._take_records)
+        self._operator_tail = Tail(
+            self._store,
+            OPERATOR_TOPIC,
+            OPERATOR_PARTITION,
+            clock,
+            self._take_operator_records,
+        )
+        self._service = JobService(self._store, clock, self._table, self._jobs_tail)
+        self._ingress = Ingress(self._service, clock)
+        self._link = AgentLink(
+            settings.host.peer_address, settings.host.name, self._take_report
+        )
+        self._http = build_http_server(
+            EntrySettings(
+                http_address=settings.callers.http_address,
+                threads=settings.callers.threads,
+            ),
+            self._ingress,
+        )
+        self._readiness = ReadinessServer(
+            settings.callers.ready_address, self._is_ready
+        )
+
+    def run(self) -> None:
+        """Run until SIGTERM."""
+        signal.signal(signal.SIGTERM, lambda *_: self._stopping.set())
+        signal.signal(signal.SIGINT, lambda *_: self._stopping.set())
+        signal.signal(signal.SIGHUP, lambda *_: logger.info("reload is not needed"))
+        self._http.prepare()
+        for target in (
+            self._jobs_tail.run,
+            self._operator_tail.run,
+            self._link.run,
+            self._run_election,
+            self._run_decisions,
+            self._http.serve,
+        ):
+            self._start_thread(target)
+        logger.info("started", extra={"member": self._member})
+        while not self._stopping.wait(1.0):
+            pass
+        self._shut_down()
+
+    def _start_thread(self, target: Any, *arguments: Any) -> None:
+        threading.Thread(target=target, args=arguments, daemon=True).start()
+
+    def _shut_down(self) -> None:
+        """Hand the leadership over, and go on answering while callers may send."""
+        logger.info("stopping")
+        self._ingress.closing = True
+        self._resign("process stops")
+        Election(self._store, self._member).leave()
+        time.sleep((self._settings.bounds.grace_seconds - GRACE_MARGIN).total_seconds())
+        logger.info("stopped")
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._stopping.is_set()
+            and self._service.catalog.version > 0
+            and self._jobs_tail.position >= 0
+        )
+
+    def _wake(self) -> None:
+        """Let a decision follow; the caller holds the lock."""
+        self._decision_due = True
+        self._lock.notify_all()
+
+    # Records
+
+    def _take_records(self, records: tuple[StoredValue, ...]) -> None:
+        with self._lock:
+            for stored in records:
+                key = self._table.fold(stored)
+                if key is None or self._cell is None:
+                    continue
+                if key.kind in (RecordKind.JOB, RecordKind.CANCELLATION):
+                    self._cell.fold_job(key.name)
+            if self._cell is not None:
+                self._wake()
+
+    def _take_operator_records(self, records: tuple[StoredValue, ...]) -> None:
+        for stored in records:
+            if stored.key != CONFIGURATION_KEY or not stored.value:
+                continue
+            match parse_manifest(stored.value):
+                case Success(catalog) if (
+                    catalog.version > self._service.catalog.version
+                ):
+                    with self._lock:
+                        self._service.catalog = catalog
+                        if self._cell is not None:
+                            self._cell.catalog = catalog
+                            self._wake()
+                    logger.info(
+                        "configuration in force",
+                        extra={
+                            "version": catalog.version,
+                            "queues": len(catalog.queues),
+                        },
+                    )
+                case Success(catalog):
+                    logger.info(
+                        "older configuration ignored",
+                        extra={"version": catalog.version},
+                    )
+                case Failure(problem):
+                    logger.error(
+                        "configuration refused", extra={"detail": problem.detail}
+                    )
+
+    # Leadership
+
+    def _run_election(self) -> None:
+        election = Election(self._store, self._member)
+        while not self._stopping.is_set():
+            match election.join():
+                case Success(membership):
+                    self._take_membership(membership)
+                case Failure(problem):
+                    logger.warning("join failed", extra={"detail": problem.detail})
+            if self._committer is not None and self._committer.fenced:
+                self._resign("a successor leads")
+            self._stopping.wait(JOIN_INTERVAL.total_seconds())
+
+    def _take_membership(self, membership: Membership) -> None:
+        if membership.leads and self._cell is None:
+            self._lead(membership.generation)
+        elif not membership.leads and self._cell is not None:
+            self._resign("the cell was assigned to another controller")
+
+    def _lead(self, epoch: int) -> None:
+        """Fence former leaders, catch up with the log, and open the cell."""
+        if self._jobs_tail.position < 0:
+            return
+        address = self._settings.host.peer_address
+        appender = Appender(self._store, self._clock, epoch)
+        record = encode_keyed(
+            LEADER_KEY.format(), encode_record(LeaderRecord(epoch, address))
+        )
+        match appender.append([record]):
+            case Success(appended):
+                fence_offset, end = appended.offset, appended.end
+            case Failure(problem):
+                logger.warning("fence failed", extra={"detail": problem.detail})
+                if problem.kind is ErrorKind.STALE_EPOCH:
+                    Election(self._store, self._member).leave()
+                return
+        fenced_at = self._clock.boottime()
+        if not self._jobs_tail.wait_for(end, CATCH_UP_TIMEOUT):
+            logger.warning("the log could not be read to the fence")
+            return
+        bounds = self._settings.bounds
+        cell_settings = CellSettings(
+            lease=bounds.lease, keep_ended=bounds.keep_ended_seconds
+        )
+        with self._lock:
+            cell = Cell(cell_settings, self._clock, self._table, epoch)
+            cell.catalog = self._service.catalog
+            cell.controllers = (address,)
+            cell.open(fence_offset, fenced_at)
+            cell.confirm(end, appender.proven_at)
+            self._cell = cell
+            self._committer = Committer(cell, appender, self._lock, self._wake)
+            self._wake()
+        logger.info(
+            "leading",
+            extra={
+                "epoch": epoch,
+                "fence_offset": fence_offset,
+                "jobs": len(cell.jobs),
+                "hosts": len(cell.hosts),
+            },
+        )
+        self._start_thread(self._committer.run)
+        self._start_thread(self._announce, cell)
+
+    def _resign(self, reason: str) -> None:
+        with self._lock:
+            cell, committer = self._cell, self._committer
+            self._cell = None
+            self._committer = None
+        if committer is not None:
+            committer.stop()
+        if cell is not None:
+            logger.info("resigned", extra={"epoch": cell.epoch, "reason": reason})
+
+    def _announce(self, cell: Cell) -> None:
+        """Tell the agents that have not found the new leader."""
+        message = LeaderMoved(cell.epoch, self._settings.host.peer_address)
+        while self._cell is cell:
+            with self._lock:
+                missing = [h.address for h in cell.hosts.values() if not h.attached]
+            if not missing:
+                return
+            for address in missing:
+                announce_leader(address, message, self._settings.host.name)
+            time.sleep(ANNOUNCE_INTERVAL.total_seconds())
+
+    def _find_members(self) -> tuple[str, ...]:
+        match self._store.list_owners(GROUP):
+            case Success(owners):
+                return tuple({o.member.partition("#")[0] for o in owners if o.member})
+            case Failure(problem):
+                logger.info("members unknown", extra={"detail": problem.detail})
+        return ()
+
+    # Decisions
+
+    def _take_report(self, report: HostReport) -> None:
+        with self._lock:
+            if self._cell is not None:
+                self._cell.take_report(report)
+                self._wake()
+                return
+            leader = self._table.leader
+        if leader.address and leader.address != self._settings.host.peer_address:
+            self._link.send(report.host, LeaderMoved(leader.epoch, leader.address))
+
+    def _run_decisions(self) -> None:
+        next_tick = self._clock.boottime()
+        while not self._stopping.is_set():
+            with self._lock:
+                if not self._decision_due:
+                    self._lock.wait(TICK.total_seconds())
+                self._decision_due = False
+                cell, committer = self._cell, self._committer
+                if cell is None or committer is None:
+                    continue
+                now = self._clock.boottime()
+                if now >= next_tick:
+                    cell.pass_time()
+                    next_tick = now + TICK
+                cell.plan()
+                orders = list(cell.take_orders())
+                commit = cell.has_changes or cell.confirmation_due
+            if commit:
+                committer.wake()
+            for host, message in orders:
+                self._link.send(host.name, message)
+
+
+def run_controller(settings: ControllerSettings) -> None:
+    """Run a controller until it is told to stop."""
+    Controller(settings, SystemClock()).run()
--- /dev/null
+++ b/src/egretcrank/controller/link.py
@@ -0,0 +1,92 @@
+"""Connections of a controller to the agents of its hosts."""
+
+import logging
+import time
+from collections.abc import Callable
+
+import pynng
+from returns.result import Failure, Success
+
+from egretcrank.wire.codec import Delivery, decode, encode
+from egretcrank.wire.hosting import HostReport
+from egretcrank.wire.messages import Message
+
+RECEIVE_TIMEOUT_MILLISECONDS = 500
+SEND_TIMEOUT_MILLISECONDS = 200
+SEND_LINGER_SECONDS = 0.05
+MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+
+logger = logging.getLogger(__name__)
+
+
+class AgentLink:
+    """Listens for agents; each host is answered over its newest connection."""
+
+    def __init__(
+        self, address: str, name: str, take: Callable[[HostReport], None]
+    ) -> None:
+        self._name = name
+        self._take = take
+        self._socket = pynng.Pair1(
+            polyamorous=True,
+            send_timeout=SEND_TIMEOUT_MILLISECONDS,
+            recv_timeout=RECEIVE_TIMEOUT_MILLISECONDS,
+            recv_max_size=MAX_MESSAGE_BYTES,
+        )
+        self._socket.listen(f"tcp://{address}")
+        self._pipes: dict[str, pynng.Pipe] = {}
+        self._closed = False
+
+    def run(self) -> None:
+        """Receive reports until closed."""
+        while not self._closed:
+            try:
+                message = self._socket.recv_msg()
+            except pynng.Timeout:
+                continue
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                logger.warning("receive failed", extra={"error": str(error)})
+                continue
+            match decode(message.bytes):
+                case Success(Delivery(HostReport() as report)):
+                    self._pipes[report.host] = message.pipe
+                    self._take(report)
+                case Success(Delivery(other)):
+                    kind = type(other).__name__
+                    logger.warning("message refused", extra={"message_kind": kind})
+                case Failure(problem):
+                    logger.warning("message refused", extra={"detail": problem.detail})
+
+    def send(self, host: str, message: Message) -> None:
+        """Send a message; a lost one is sent again with a later report."""
+        pipe = self._pipes.get(host)
+        if pipe is None:
+            return
+        try:
+            pipe.send(encode(message, "", self._name))
+        except pynng.NNGException as error:
+            self._pipes.pop(host, None)
+            logger.warning("send failed", extra={"host": host, "error": str(error)})
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._closed = True
+        self._socket.close()
+
+
+def announce_leader(address: str, message: Message, name: str) -> bool:
+    """Tell one agent, over a connection of its own, which controller leads."""
+    try:
+        with pynng.Push0(send_timeout=SEND_TIMEOUT_MILLISECONDS) as socket:
+            socket.dial(f"tcp://{address}", block=False)
+            socket.send(encode(message, "", name))
+            # Closing a socket drops what it has not sent yet.
+            time.sleep(SEND_LINGER_SECONDS)
+            return True
+    except pynng.NNGException as error:
+        logger.info(
+            "agent not reached", extra={"address": address, "error": str(error)}
+        )
+        return False
--- /dev/null
+++ b/src/egretcrank/platform/manifest.py
@@ -0,0 +1,82 @@
+"""The operator's configuration as the platform stores it."""
+
+from datetime import timedelta
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from egretcrank.errors.kinds import Problem
+from egretcrank.platform.calls import decode_body
+from egretcrank.scheduling.catalog import Catalog, Limits, Queue, Service
+
+OPERATOR_TOPIC = "keyed.op"
+OPERATOR_PARTITION = 0
+CONFIGURATION_KEY = "config"
+WAVE_PREFIX = "wave/"
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    service: str = ""
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: float = 0.0
+    # Present on queues whose hosts are chosen by the advice service.
+    advice: msgspec.Raw | None = None
+
+
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str = ""
+    admission_control: bool = False
+    spare: bool = False
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    body_bytes: int = 262144
+
+
+class _Manifest(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+
+
+def parse_manifest(value: bytes) -> Result[Catalog, Problem]:
+    """Read a configuration; one that cannot be read changes nothing."""
+    match decode_body(value, _Manifest):
+        case Success(manifest):
+            return Success(_build_catalog(manifest))
+        case Failure(problem):
+            return Failure(problem)
+    raise AssertionError("unreachable")
+
+
+def _build_catalog(manifest: _Manifest) -> Catalog:
+    queues = {
+        route.name: Queue(
+            route.name,
+            route.host,
+            route.path_prefix,
+            route.service,
+            route.priority,
+            max(1, route.max_attempts),
+            route.stretch,
+            timedelta(milliseconds=route.target_latency_ms),
+            route.advice is not None,
+        )
+        for route in manifest.routes
+    }
+    services = {
+        service.name: Service(
+            service.name, service.health_path, service.admission_control, service.spare
+        )
+        for service in manifest.services
+    }
+    return Catalog(
+        manifest.version, queues, services, Limits(manifest.limits.body_bytes)
+    )
--- /dev/null
+++ b/src/egretcrank/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on jobs, tasks and hosts, apart from input and output."""
--- /dev/null
+++ b/src/egretcrank/scheduling/definitions.py
@@ -0,0 +1,103 @@
+"""Jobs as they are handed in, and the names of their tasks."""
+
+from datetime import datetime, timedelta
+from typing import NamedTuple
+
+from egretcrank.scheduling.catalog import Queue
+
+# Widest step and longest chain that are accepted; both bound the memory of one job.
+MAX_TASKS = 10_000
+MAX_STEPS = 100
+
+
+class Step(NamedTuple):
+    """One step of a job: ``width`` equal tasks.
+
+    ``cpu`` is in thousandths of a core and ``memory`` in MiB, both for one task.
+    ``spread_limit`` is the number of tasks of the step that one host may run, 0 for
+    any. ``target`` is the bound of the tail latency of a lasting task.
+    """
+
+    width: int
+    cpu: int
+    memory: int
+    accelerators: int
+    estimate: timedelta
+    depends_on: tuple[int, ...] = ()
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    label: str = ""
+    rack: str = ""
+    spread_limit: int = 0
+    duplicates: bool = False
+    lasting: bool = False
+    image: str = ""
+    target: timedelta = timedelta()
+    fills: bool = False
+    may_miss: int = 0
+
+
+class JobDefinition(NamedTuple):
+    """A job; ``repetitions`` is 0 for a job that runs once, when it is handed in.
+
+    ``queue`` is as it was when the job was accepted; it holds on for jobs whose queue
+    was removed since.
+    """
+
+    job_id: str
+    queue: Queue
+    spec: str
+    steps: tuple[Step, ...]
+    submitted_at: datetime
+    repetitions: int = 0
+    first_run: datetime | None = None
+    interval: timedelta = timedelta()
+
+
+class StepKey(NamedTuple):
+    """A step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+class TaskKey(NamedTuple):
+    """A task of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    position: int
+
+    def format(self) -> str:
+        """Return the name of the task, as hosts know it."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.position}"
+
+
+def parse_task_key(name: str) -> TaskKey | None:
+    """Read the name of a task; ``None`` for a name that no job gives."""
+    parts = name.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+        return None
+    return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
+
+
+def find_defect(definition: JobDefinition) -> str:
+    """Tell what makes a job impossible to run on any hosts; empty if nothing does."""
+    steps = definition.steps
+    if not steps or len(steps) > MAX_STEPS:
+        return f"a job has 1 to {MAX_STEPS} steps"
+    for number, step in enumerate(steps):
+        if not 1 <= step.width <= MAX_TASKS:
+            return f"step {number} has {step.width} tasks, not 1 to {MAX_TASKS}"
+        if any(not 0 <= earlier < number for earlier in step.depends_on):
+            return f"step {number} depends on a step that is not before it"
+        if min(step.cpu, step.memory, step.accelerators, step.spread_limit) < 0:
+            return f"step {number} has a negative amount"
+        if any(steps[earlier].lasting for earlier in step.depends_on):
+            return f"step {number} depends on a step that never ends"
+    if definition.repetitions and definition.first_run is None:
+        return "a repeated job has no time of its first run"
+    return ""
--- /dev/null
+++ b/src/egretcrank/scheduling/hosts.py
@@ -0,0 +1,121 @@
+"""State of the hosts of a cell at the controller that leads it."""
+
+from datetime import timedelta
+from typing import NamedTuple
+
+from egretcrank.scheduling.definitions import Step, TaskKey
+from egretcrank.wire.hosting import NumberedOrder, RunnerFacts, StartOrder, StopOrder
+
+# An agent reports twice a second at least; after two missed reports nothing new is
+# placed on its host.
+SILENT_AFTER = timedelta(milliseconds=1300)
+# Orders that no report confirmed are sent again.
+RESEND_AFTER = timedelta(milliseconds=300)
+
+
+class ForeignRun(NamedTuple):
+    """A run that the cell does not want, and that may hold capacity until it ends."""
+
+    task: str
+    run: int
+
+
+class HostState:
+    """A host: its runner, its session of orders and what runs there."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name = name
+        self.address = address
+        self.runner: RunnerFacts | None = None
+        self.incarnation = ""
+        self.sequence = -1
+        self.attached = False
+        self.registered = False
+        self.leaving = False
+        self.reported_at = timedelta()
+        self.sent_at = 0.0
+        self.reply_due = False
+        self.profiles_due = False
+        self.granted_until = timedelta()
+        self.avoid_until = timedelta()
+        self.pending: list[NumberedOrder] = []
+        self.pending_sent_at = timedelta()
+        self.last_number = 0
+        self.applied = 0
+        self.tasks: set[TaskKey] = set()
+        self.foreign: set[ForeignRun] = set()
+        self.ends_seen = 0
+        self.ends_durable = 0
+        self.used_cpu = 0
+        self.used_memory = 0
+        self.used_accelerators = 0
+        self.filling_cpu = 0
+
+    @property
+    def rack(self) -> str:
+        """Return the rack of the host, empty while it is unknown."""
+        return self.runner.rack if self.runner else ""
+
+    @property
+    def free_cpu(self) -> int:
+        """Return the unreserved processor time, in thousandths of a core."""
+        return (self.runner.cpu if self.runner else 0) - self.used_cpu
+
+    def reserve(self, step: Step, sign: int = 1) -> None:
+        """Reserve what a task needs, or release it with ``sign`` -1."""
+        self.used_memory += sign * step.memory
+        self.used_accelerators += sign * step.accelerators
+        if step.fills:
+            self.filling_cpu += sign * step.cpu
+        else:
+            self.used_cpu += sign * step.cpu
+
+    def can_hold(self, step: Step) -> bool:
+        """Tell whether a task fits beside what is reserved."""
+        runner = self.runner
+        return (
+            runner is not None
+            and self.used_memory + step.memory <= runner.memory
+            and self.used_accelerators + step.accelerators <= runner.accelerators
+            and (step.fills or self.used_cpu + step.cpu <= runner.cpu)
+        )
+
+    def is_usable(self, now: timedelta) -> bool:
+        """Tell whether new tasks may be placed here."""
+        return (
+            self.attached
+            and self.registered
+            and not self.leaving
+            and not self.foreign
+            and self.runner is not None
+            and not self.runner.draining
+            and now - self.reported_at < SILENT_AFTER
+            and now >= self.avoid_until
+        )
+
+    def add_order(self, order: StartOrder | StopOrder) -> int:
+        """Queue an order for the agent and return its number."""
+        self.last_number += 1
+        match order:
+            case StartOrder():
+                numbered = NumberedOrder(self.last_number, start=order)
+            case StopOrder():
+                numbered = NumberedOrder(self.last_number, stop=order)
+        self.pending.append(numbered)
+        self.pending_sent_at = timedelta()
+        return self.last_number
+
+    def confirm_orders(self, applied: int) -> None:
+        """Drop the orders that the agent has taken."""
+        self.applied = max(self.applied, applied)
+        if self.pending and self.pending[0].number <= self.applied:
+            self.pending = [o for o in self.pending if o.number > self.applied]
+
+    def begin_session(self, incarnation: str) -> None:
+        """Forget the orders of an earlier session; its agent no longer takes them."""
+        self.incarnation = incarnation
+        self.sequence = -1
+        self.pending = []
+        self.last_number = 0
+        self.applied = 0
+        self.foreign.clear()
--- /dev/null
+++ b/src/egretcrank/scheduling/table.py
@@ -0,0 +1,143 @@
+"""Table of the cell's jobs, folded from durable records by every controller."""
+
+import logging
+from datetime import datetime
+from typing import NamedTuple
+
+from returns.result import Success
+
+from egretcrank.scheduling.definitions import JobDefinition
+from egretcrank.scheduling.records import (
+    HostRecord,
+    LeaderRecord,
+    Phase,
+    ProgressRecord,
+    RecordKey,
+    RecordKind,
+    decode_record,
+    parse_key,
+)
+
+logger = logging.getLogger(__name__)
+
+
+class StoredValue(NamedTuple):
+    """The newest record of a key; an empty value drops the key."""
+
+    offset: int
+    key: str
+    value: bytes
+
+
+class JobEntry:
+    """What the log says of a job."""
+
+    __slots__ = ("cancelled", "definition", "offset", "progress")
+
+    def __init__(self) -> None:
+        self.definition: JobDefinition | None = None
+        self.offset = -1
+        self.cancelled = False
+        self.progress: ProgressRecord | None = None
+
+    @property
+    def phase(self) -> Phase:
+        """Return the state that callers are shown."""
+        phase = self.progress.phase if self.progress else Phase.QUEUED
+        if self.cancelled and not phase.final:
+            return Phase.CANCELLED
+        return phase
+
+
+class JobTable:
+    """Jobs, hosts and leader of a cell; records may be folded again in any order."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobEntry] = {}
+        self.hosts: dict[str, HostRecord] = {}
+        self.leader = LeaderRecord(0, "")
+        self._offsets: dict[str, int] = {}
+        self.refused = 0
+
+    def fold(self, stored: StoredValue) -> RecordKey | None:
+        """Apply a record; return its key if it changed the table."""
+        if self._offsets.get(stored.key, -1) >= stored.offset:
+            return None
+        key = parse_key(stored.key)
+        if key is None:
+            self._refuse(stored, "key is not known")
+            return None
+        if not self._apply(key, stored):
+            return None
+        self._offsets[stored.key] = stored.offset
+        if not stored.value:
+            del self._offsets[stored.key]
+        return key
+
+    def _apply(self, key: RecordKey, stored: StoredValue) -> bool:
+        if not stored.value:
+            self._drop(key)
+            return True
+        if key.kind is RecordKind.CANCELLATION:
+            self._find(key.name).cancelled = True
+            return True
+        match decode_record(key.kind, stored.value):
+            case Success(JobDefinition() as definition):
+                entry = self._find(key.name)
+                if entry.definition is None:
+                    entry.definition = definition
+                    entry.offset = stored.offset
+            case Success(ProgressRecord() as progress):
+                self._find(key.name).progress = progress
+            case Success(HostRecord() as host):
+                self.hosts[key.name] = host
+            case Success(LeaderRecord() as leader):
+                if leader.epoch >= self.leader.epoch:
+                    self.leader = leader
+            case _:
+                self._refuse(stored, "value cannot be decoded")
+                return False
+        return True
+
+    def _find(self, job_id: str) -> JobEntry:
+        return self.jobs.setdefault(job_id, JobEntry())
+
+    def _drop(self, key: RecordKey) -> None:
+        match key.kind:
+            case RecordKind.JOB | RecordKind.PROGRESS | RecordKind.CANCELLATION:
+                self.jobs.pop(key.name, None)
+            case RecordKind.HOST:
+                self.hosts.pop(key.name, None)
+
+    def _refuse(self, stored: StoredValue, reason: str) -> None:
+        self.refused += 1
+        logger.warning(
+            "record refused",
+            extra={"key": stored.key, "offset": stored.offset, "reason": reason},
+        )
+
+    def find(self, job_id: str) -> JobEntry | None:
+        """Return an accepted job."""
+        entry = self.jobs.get(job_id)
+        return entry if entry is not None and entry.definition is not None else None
+
+    def count_waiting(self, queue: str) -> int:
+        """Count the accepted jobs of a queue of which no task has started."""
+        return sum(
+            1
+            for entry in self.jobs.values()
+            if entry.phase is Phase.QUEUED
+            and entry.definition is not None
+            and entry.definition.queue.name == queue
+        )
+
+    def list_expired(self, before: datetime) -> list[str]:
+        """Return the jobs that ended before a time."""
+        limit = before.timestamp()
+        return [
+            job_id
+            for job_id, entry in self.jobs.items()
+            if entry.progress is not None
+            and entry.progress.phase.final
+            and 0 < entry.progress.ended_at < limit
+        ]
--- /dev/null
+++ b/src/egretcrank/scheduling/tasks.py
@@ -0,0 +1,212 @@
+"""State of jobs, steps and tasks at the controller that leads the cell."""
+
+from datetime import UTC, datetime, timedelta
+from enum import StrEnum
+
+from egretcrank.scheduling.catalog import Queue
+from egretcrank.scheduling.definitions import (
+    JobDefinition,
+    Step,
+    StepKey,
+    TaskKey,
+)
+from egretcrank.scheduling.records import (
+    Phase,
+    ProgressRecord,
+    StepRecord,
+    TaskRecord,
+)
+
+# Jobs count as late up to three times their objective, and earn nothing after it.
+LATE_FACTOR = 3
+
+
+class RunPhase(StrEnum):
+    """What is known of a run that may hold capacity of a host."""
+
+    ORDERED = "ordered"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Placement:
+    """A run of a task on a host, from its order until its end is known."""
+
+    __slots__ = ("host", "number", "phase", "run", "since", "step", "task")
+
+    def __init__(
+        self,
+        task: TaskKey,
+        step: "StepState",
+        host: str,
+        run: int,
+        phase: RunPhase,
+        since: timedelta,
+    ) -> None:
+        self.task = task
+        self.step = step
+        self.host = host
+        self.run = run
+        self.phase = phase
+        self.since = since
+        self.number = 0
+
+
+class Task:
+    """What the cell knows of one task."""
+
+    __slots__ = ("checkpoint", "done", "ended_run", "failures", "run")
+
+    def __init__(self) -> None:
+        self.done = False
+        self.run = 0
+        self.ended_run = 0
+        self.failures = 0
+        self.checkpoint = ""
+
+
+class StepState:
+    """Tasks of one step of one occurrence."""
+
+    def __init__(self, job: "Job", key: StepKey, step: Step) -> None:
+        self.job = job
+        self.key = key
+        self.step = step
+        self.tasks = [Task() for _ in range(step.width)]
+        self.waiting = set(range(step.width))
+        self.done = 0
+        # Number of runs by host, for the spread limit.
+        self.spread: dict[str, int] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every task is done."""
+        return self.done == self.step.width
+
+    def key_of(self, index: int) -> TaskKey:
+        """Return the key of one task."""
+        return TaskKey(self.key.job_id, self.key.occurrence, self.key.step, index)
+
+    def mark_done(self, index: int) -> None:
+        """Note that a task is done."""
+        task = self.tasks[index]
+        if not task.done:
+            task.done = True
+            self.done += 1
+            self.waiting.discard(index)
+
+    def restore(self, record: StepRecord) -> None:
+        """Take over the progress that is on the log."""
+        for index, task_record in record.tasks.items():
+            if 0 <= index < len(self.tasks):
+                task = self.tasks[index]
+                task.run = task_record.highest_run
+                task.ended_run = task_record.ended_run
+                task.failures = task_record.failures
+                task.checkpoint = task_record.checkpoint
+        for index in range(min(len(self.tasks), len(record.done) * 8)):
+            if record.done[index // 8] & (1 << (index % 8)):
+                self.mark_done(index)
+
+    def describe(self) -> StepRecord:
+        """Return the progress for the log."""
+        bits = bytearray((len(self.tasks) + 7) // 8)
+        exceptions: dict[int, TaskRecord] = {}
+        for index, task in enumerate(self.tasks):
+            if task.done:
+                bits[index // 8] |= 1 << (index % 8)
+            elif task.ended_run or task.checkpoint:
+                exceptions[index] = TaskRecord(
+                    task.run, task.ended_run, task.failures, task.checkpoint
+                )
+        return StepRecord(bytes(bits).rstrip(b"\0"), exceptions)
+
+
+class Job:
+    """A job and its occurrences; occurrences are added when they are due."""
+
+    def __init__(self, definition: JobDefinition, offset: int) -> None:
+        self.definition = definition
+        self.offset = offset
+        self.queue = definition.queue
+        self.phase = Phase.QUEUED
+        self.ended_at: datetime | None = None
+        self.occurrences: dict[int, list[StepState]] = {}
+        self._chain = _find_longest_chain(definition.steps)
+
+    @property
+    def job_id(self) -> str:
+        """Return the identifier of the job."""
+        return self.definition.job_id
+
+    @property
+    def total(self) -> int:
+        """Return the number of times that the job runs."""
+        return max(1, self.definition.repetitions)
+
+    def due_at(self, occurrence: int) -> datetime:
+        """Return the time from which an occurrence may start."""
+        definition = self.definition
+        if definition.first_run is None:
+            return definition.submitted_at
+        return definition.first_run + occurrence * definition.interval
+
+    def add_occurrence(self, occurrence: int) -> list[StepState]:
+        """Add the steps of an occurrence."""
+        steps = [
+            StepState(self, StepKey(self.job_id, occurrence, number), step)
+            for number, step in enumerate(self.definition.steps)
+        ]
+        self.occurrences[occurrence] = steps
+        return steps
+
+    def find_step(self, key: TaskKey) -> StepState | None:
+        """Return the step of a task, if the job has that task."""
+        steps = self.occurrences.get(key.occurrence)
+        if steps is None or not 0 <= key.step < len(steps):
+            return None
+        step = steps[key.step]
+        return step if 0 <= key.position < len(step.tasks) else None
+
+    def find_deadline(self, occurrence: int, queue: Queue) -> datetime:
+        """Return the time until which an occurrence is in time."""
+        objective = queue.stretch * self._chain + queue.target_latency
+        return self.due_at(occurrence) + objective
+
+    def is_complete(self) -> bool:
+        """Tell whether every occurrence is complete."""
+        return len(self.occurrences) == self.total and all(
+            step.complete for steps in self.occurrences.values() for step in steps
+        )
+
+    def restore(self, progress: ProgressRecord) -> None:
+        """Take over the progress that is on the log."""
+        self.phase = progress.phase
+        if progress.ended_at:
+            self.ended_at = datetime.fromtimestamp(progress.ended_at, UTC)
+        for occurrence, records in progress.occurrences.items():
+            steps = self.occurrences.get(occurrence) or self.add_occurrence(occurrence)
+            for step, record in zip(steps, records, strict=False):
+                step.restore(record)
+
+    def describe(self) -> ProgressRecord:
+        """Return the progress for the log; a job that ended needs no details."""
+        ended = self.ended_at.timestamp() if self.ended_at else 0.0
+        if self.phase.final:
+            return ProgressRecord(self.phase, ended)
+        return ProgressRecord(
+            self.phase,
+            ended,
+            {
+                number: [step.describe() for step in steps]
+                for number, steps in self.occurrences.items()
+            },
+        )
+
+
+def _find_longest_chain(steps: tuple[Step, ...]) -> timedelta:
+    ends: list[timedelta] = []
+    for step in steps:
+        begin = max((ends[earlier] for earlier in step.depends_on), default=timedelta())
+        ends.append(begin + step.estimate)
+    return max(ends, default=timedelta())
--- a/src/egretcrank/settings/parser.py
+++ b/src/egretcrank/settings/parser.py
@@ -65,6 +65,22 @@
     return Success(settings)
 
 
+def parse_sections(
+    text: str, source: str, sections: Mapping[str, type[Any]]
+) -> Result[dict[str, Any], tuple[Problem, ...]]:
+    """Check settings of which every section is required and no other is known."""
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text, source)
+    except configparser.Error as error:
+        return Failure((_report(source, str(error), "INI sections and keys"),))
+    reader = _SettingsReader(parser, source)
+    values = reader.read_sections(sections)
+    if reader.problems:
+        return Failure(tuple(reader.problems))
+    return Success(values)
+
+
 def list_rules(section: type[Any]) -> dict[str, tuple[Rule, Any]]:
     """List the settings of a section with rule and default, for the reference page."""
     return {
@@ -109,6 +125,14 @@
         self._check_relations(settings)
         return settings
 
+    def read_sections(self, sections: Mapping[str, type[Any]]) -> dict[str, Any]:
+        """Read the given sections; all of them must be present."""
+        for section in self._parser.sections():
+            if section not in sections:
+                hint = _suggest(section, sorted(sections))
+                self._add(section, "", "section is not known", hint)
+        return {name: self._read(name, kind, True) for name, kind in sections.items()}
+
     def _check_section_names(self) -> None:
         known = sorted(SECTIONS)
         for section in self._parser.sections():
--- /dev/null
+++ b/src/egretcrank/settings/platform.py
@@ -0,0 +1,162 @@
+"""Settings of the daemons on the platform, rendered from the templates in deploy/."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from returns.result import Failure, Result, Success
+
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.settings.parser import parse_sections
+from egretcrank.settings.schema import Kind, setting
+
+
+@dataclass(frozen=True, slots=True)
+class HostSettings:
+    """Section ``[host]``: identity of the process."""
+
+    name: str = setting(Kind.TEXT, "Name of the host.", "", required=True)
+    failure_domain: str = setting(
+        Kind.TEXT, "Failure domain of the host.", "", required=True
+    )
+    ip: str = setting(Kind.TEXT, "IP number of the host.", "", required=True)
+    first_port: int = setting(
+        Kind.INTEGER,
+        "First port for connections between the daemons.",
+        0,
+        minimum=1,
+        maximum=65535,
+        required=True,
+    )
+    log_level: str = setting(Kind.TEXT, "Lowest level that is logged.", "INFO")
+
+    @property
+    def peer_address(self) -> str:
+        """Return the address for other daemons."""
+        return f"{self.ip}:{self.first_port}"
+
+    @property
+    def metrics_address(self) -> str:
+        """Return the address of the metrics."""
+        return f"{self.ip}:{self.first_port + 1}"
+
+
+@dataclass(frozen=True, slots=True)
+class StoreSettings:
+    """Section ``[store]``: the platform's log."""
+
+    address: str = setting(Kind.ADDRESS, "Address of the log.", "", required=True)
+
+
+@dataclass(frozen=True, slots=True)
+class BoundSettings:
+    """Section ``[bounds]``: times that the platform promises or asks for."""
+
+    lease_milliseconds: float = setting(
+        Kind.NUMBER, "Longest lease of a runner.", 6000.0, minimum=1000, required=True
+    )
+    keep_ended_seconds: timedelta = setting(
+        Kind.SECONDS,
+        "Time for which the state of a job that ended is kept.",
+        timedelta(seconds=120),
+        required=True,
+    )
+    grace_seconds: timedelta = setting(
+        Kind.SECONDS,
+        "Time from SIGTERM to SIGKILL.",
+        timedelta(seconds=6),
+        required=True,
+    )
+    harm_milliseconds: float = setting(
+        Kind.NUMBER,
+        "Longest time that a task may stay over its target beside what fills.",
+        4000.0,
+        required=True,
+    )
+
+    @property
+    def lease(self) -> timedelta:
+        """Return the longest lease of a runner."""
+        return timedelta(milliseconds=self.lease_milliseconds)
+
+
+@dataclass(frozen=True, slots=True)
+class CallerSettings:
+    """Section ``[callers]``: the HTTP interface for callers."""
+
+    http_address: str = setting(Kind.ADDRESS, "Address for callers.", "", required=True)
+    ready_address: str = setting(
+        Kind.ADDRESS, "Address of the readiness check.", "", required=True
+    )
+    threads: int = setting(
+        Kind.INTEGER, "Threads that serve HTTP.", 12, minimum=1, maximum=1024
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerSettings:
+    """Section ``[runner]``: the runner beside this agent."""
+
+    address: str = setting(Kind.ADDRESS, "Address of the runner.", "", required=True)
+    heartbeat_address: str = setting(
+        Kind.ADDRESS, "Address for the runner's heartbeats.", "", required=True
+    )
+
+
+class ControllerSettings(NamedTuple):
+    """Settings of a controller."""
+
+    host: HostSettings
+    store: StoreSettings
+    bounds: BoundSettings
+    callers: CallerSettings
+
+
+class AgentSettings(NamedTuple):
+    """Settings of an agent."""
+
+    host: HostSettings
+    store: StoreSettings
+    bounds: BoundSettings
+    runner: RunnerSettings
+
+
+COMMON_SECTIONS: dict[str, type[Any]] = {
+    "host": HostSettings,
+    "store": StoreSettings,
+    "bounds": BoundSettings,
+}
+
+
+def load_controller(path: Path) -> Result[ControllerSettings, tuple[Problem, ...]]:
+    """Read the settings of a controller."""
+    sections = {**COMMON_SECTIONS, "callers": CallerSettings}
+    return _load(path, sections).map(lambda values: ControllerSettings(**values))
+
+
+def load_agent(path: Path) -> Result[AgentSettings, tuple[Problem, ...]]:
+    """Read the settings of an agent."""
+    sections = {**COMMON_SECTIONS, "runner": RunnerSettings}
+    return _load(path, sections).map(lambda values: AgentSettings(**values))
+
+
+def _load(
+    path: Path, sections: dict[str, type[Any]]
+) -> Result[dict[str, Any], tuple[Problem, ...]]:
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        problem = Problem(
+            ErrorKind.INVALID_SETTINGS,
+            f"cannot be read: {error}",
+            str(path),
+            "a text file",
+        )
+        return Failure((problem,))
+    match parse_sections(text, str(path), sections):
+        case Success(values):
+            return Success(values)
+        case Failure(problems):
+            return Failure(problems)
+    raise AssertionError("unreachable")
--- /dev/null
+++ b/src/egretcrank/wire/hosting.py
@@ -0,0 +1,153 @@
+"""Messages between a controller that leads a cell and the agents of its hosts.
+
+They travel one way each and may be lost or repeated: orders are numbered and sent
+again until a report says that they were taken, ends until the orders say that they
+are durable. Durations are in seconds.
+"""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+
+class RunningTask(NamedTuple):
+    """A task that runs; ``percent`` is the pace at which it may work.
+
+    ``figure`` is the tail latency in milliseconds of a task that serves, otherwise
+    the processor time in use, in thousandths of a core.
+    """
+
+    task: str
+    run: int
+    checkpoint: str
+    percent: int
+    figure: int
+
+
+class EndedTask(NamedTuple):
+    """An end that the host's runner keeps until it is acknowledged by number."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+    checkpoint: str
+
+
+class RefusedStart(NamedTuple):
+    """A start that certainly had no effect."""
+
+    task: str
+    run: int
+    reason: str
+
+
+class RunnerFacts(NamedTuple):
+    """What a runner says of itself; ``born`` tells one life from the next."""
+
+    runner_id: str
+    born: int
+    service: str
+    failure_domain: str
+    rack: str
+    labels: tuple[str, ...]
+    cpu: int
+    memory: int
+    accelerators: int
+    draining: bool
+    remaining_seconds: float
+
+
+class TaskProfile(NamedTuple):
+    """What an agent needs to know of a task that it paces or protects.
+
+    ``cpu`` is in thousandths of a core; ``target_milliseconds`` bounds the tail latency
+    of a task that serves, and is 0 for others.
+    """
+
+    cpu: int
+    fills: bool
+    image: str
+    target_milliseconds: float
+
+
+class StartOrder(NamedTuple):
+    """Start a run of a task."""
+
+    task: str
+    run: int
+    spec: str
+    checkpoint: str
+    ticket: str
+    profile: TaskProfile
+
+
+class StopOrder(NamedTuple):
+    """Stop a run of a task."""
+
+    task: str
+    run: int
+
+
+class NumberedOrder(NamedTuple):
+    """An order with its number in the session; exactly one of both is given."""
+
+    number: int
+    start: StartOrder | None = None
+    stop: StopOrder | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HostReport:
+    """What an agent reports on its host.
+
+    ``incarnation`` is new with each start of the agent. ``applied`` is the highest
+    order number taken in the session of ``epoch``. ``running`` and ``starting`` are
+    complete if ``full`` is set and empty otherwise. ``sent_at`` is a reading of the
+    agent's own clock, which the controller returns.
+    """
+
+    host: str = ""
+    address: str = ""
+    incarnation: str = ""
+    sequence: int = 0
+    epoch: int = 0
+    applied: int = 0
+    sent_at: float = 0.0
+    runner: RunnerFacts | None = None
+    full: bool = False
+    running: tuple[RunningTask, ...] = ()
+    starting: tuple[tuple[str, int], ...] = ()
+    ended: tuple[EndedTask, ...] = ()
+    refused: tuple[RefusedStart, ...] = ()
+    unprofiled: int = 0
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HostOrders:
+    """Orders of the controller that leads, and the authority to keep leases.
+
+    Leases may last until ``authority_seconds`` after ``report_sent_at`` on the agent's
+    clock. Ends of life ``born`` up to ``seen_ends`` need not be reported again; those
+    up to ``durable_ends`` are on the log.
+    """
+
+    epoch: int = 0
+    incarnation: str = ""
+    report_sequence: int = 0
+    report_sent_at: float = 0.0
+    authority_seconds: float = 0.0
+    born: int = 0
+    seen_ends: int = 0
+    durable_ends: int = 0
+    orders: tuple[NumberedOrder, ...] = ()
+    profiles: dict[str, TaskProfile] = field(default_factory=dict)
+    controllers: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderMoved:
+    """Tell an agent which controller leads its cell, and under which epoch."""
+
+    epoch: int = 0
+    address: str = ""
--- a/src/egretcrank/wire/messages.py
+++ b/src/egretcrank/wire/messages.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from egretcrank.wire.hosting import HostOrders, HostReport, LeaderMoved
+
 
 @dataclass(frozen=True, slots=True)
 class Refused:
@@ -465,4 +467,7 @@
     | ProcessStatus
     | Explain
     | Explanation
+    | HostReport
+    | HostOrders
+    | LeaderMoved
 )
--- a/tests/cases.py
+++ b/tests/cases.py
@@ -29,6 +29,9 @@
     def monotonic(self) -> timedelta:
         return self._elapsed
 
+    def boottime(self) -> timedelta:
+        return self._elapsed
+
     async def sleep(self, delay: timedelta) -> None:
         wake = asyncio.get_running_loop().create_future()
         self._sleepers.append((self._elapsed + delay, wake))
