--- a/bench/policy/world.py
+++ b/bench/policy/world.py
@@ -56,6 +56,10 @@
         """Return the simulated time since the start."""
         return self.elapsed
 
+    def boottime(self) -> timedelta:
+        """Return the simulated time since the start; nothing is suspended here."""
+        return self.elapsed
+
     async def sleep(self, delay: timedelta) -> None:
         """Move on by ``delay``."""
         self.elapsed += delay
--- a/tests/key_world.py
+++ b/tests/key_world.py
@@ -96,6 +96,9 @@
     def monotonic(self):
         return timedelta(seconds=self._loop.time())
 
+    def boottime(self):
+        return self.monotonic()
+
     async def sleep(self, delay):
         await asyncio.sleep(max(0.0, delay.total_seconds()))
 
--- a/tests/task_world.py
+++ b/tests/task_world.py
@@ -68,6 +68,9 @@
     def monotonic(self):
         return timedelta(seconds=self.read())
 
+    def boottime(self):
+        return self.monotonic()
+
     def read(self):
         return self._origin + self._world.time * self._rate
 
