Share out the room below targets by learned pressures

Cause: the fourth field of a listed run is its progress, not its pace; the pace loop took it for the pace and cut everything at once.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -33,8 +33,6 @@
 # A leader answers each report; two unanswered ones are a reason to look for another.
 SILENT_AFTER = timedelta(milliseconds=1300)
 RECONNECT_INTERVAL = timedelta(milliseconds=700)
-# Ends are listed at once; the wait bounds how old lease and figures get.
-LOOK_WAIT = timedelta(milliseconds=500)
 LOOK_PAUSE_AFTER_FAILURE = timedelta(milliseconds=150)
 # A runner with unacknowledged ends answers at once; acknowledging takes an append.
 LOOK_PAUSE_AFTER_END = timedelta(milliseconds=100)
@@ -125,7 +123,7 @@
                 wait = timedelta()
                 time.sleep(LOOK_PAUSE_AFTER_FAILURE.total_seconds())
                 continue
-            wait = LOOK_WAIT
+            wait = FIGURE_INTERVAL
             with self._lock:
                 unacknowledged = self._state.has_ends
             if unacknowledged:
@@ -178,14 +176,13 @@
 
     def _adjust_pace(self) -> list[PaceChange]:
         now = self._clock.boottime()
-        if now - self._paced_at < FIGURE_INTERVAL:
+        if now - self._paced_at < FIGURE_INTERVAL / 2:
             return []
         self._paced_at = now
-        before = self._pace.percent
-        changes = self._pace.adjust(self._state.running, self._state.profiles)
-        if self._pace.percent != before and changes:
+        changes = self._pace.adjust(self._state.running, self._state.profiles, now)
+        if changes:
             logger.info(
-                "pace", extra={"percent": self._pace.percent, "tasks": len(changes)}
+                "pace", extra={"percents": {c.task: c.percent for c in changes}}
             )
         return changes
 
--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -1,20 +1,34 @@
-"""Pace of the tasks that fill, so that the tasks that serve keep their targets."""
+"""Paces of the tasks that fill, so that the tasks that serve keep their targets."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
+from egretcrank.policy.sharing import (
+    CORE,
+    PRIOR_PRESSURE,
+    SharingModel,
+    SharingTask,
+)
 from egretcrank.wire.hosting import RunningTask, TaskProfile
 
-FULL_PACE = 100
-# Tail over target at which the pace falls, and below which it rises again. The figures
-# are rough, so the band between both avoids swinging.
-FALL_ABOVE = 0.9
-RISE_BELOW = 0.7
-FALL_FACTOR = 0.6
-RISE_STEP = 12
-# Interval of the figures.
-FIGURE_INTERVAL = timedelta(milliseconds=500)
+FULL_PACE = 100.0
+# Tail over target that paces are set for. The rest is for swings of the load until the
+# next figures.
+AIM_RATIO = 0.7
+# Tail over target above which nothing may rise.
+HIGH_RATIO = 0.9
+# Largest rise of one adjustment.
+RISE_STEP = 30.0
+# Utilization that is kept free beside a task over its target, more with each figure,
+# and given back with each one that is far below: what no estimate explains.
+MARGIN_RISE = 0.1
+MARGIN_FALL = 0.02
+MOST_MARGIN = 1.0
+# Own estimates count once they are this much surer than the prior.
+KNOWN_DEVIATION = PRIOR_PRESSURE.deviation / 2
+# Interval of the figures; looking twice as often notices a change sooner.
+FIGURE_INTERVAL = timedelta(milliseconds=250)
 
 
 class PaceChange(NamedTuple):
@@ -25,41 +39,116 @@
     percent: int
 
 
+class _Serving(NamedTuple):
+    name: str
+    image: str
+    ratio: float
+
+
+class _Filling(NamedTuple):
+    running: RunningTask
+    profile: TaskProfile
+
+
 class PaceController:
-    """One pace for everything that fills on a host.
+    """Paces of one host.
 
-    Answers load that swings within seconds: the pace falls by a factor while a tail is
-    near its target, and rises by steps while all are far from it.
+    Answers load that swings within seconds and pairs that press on each other: what a
+    serving task has left below its target is shared out among the tasks that fill,
+    those that press least first.
     """
 
     def __init__(self) -> None:
-        self.percent = FULL_PACE
+        self._model = SharingModel()
+        self._percents: dict[tuple[str, int], float] = {}
+        self._margins: dict[str, float] = {}
 
     def adjust(
-        self, running: Iterable[RunningTask], profiles: dict[str, TaskProfile]
+        self,
+        running: Iterable[RunningTask],
+        profiles: Mapping[str, TaskProfile],
+        at: timedelta,
     ) -> list[PaceChange]:
         """Return the paces to change after new figures."""
-        worst = 0.0
-        filling: list[RunningTask] = []
-        for task in running:
-            profile = profiles.get(task.task)
-            if profile is None:
-                continue
-            if profile.target_milliseconds > 0:
-                worst = max(worst, task.figure / profile.target_milliseconds)
-            if profile.fills:
-                filling.append(task)
-        self.percent = _choose_percent(self.percent, worst)
-        return [
-            PaceChange(task.task, task.run, self.percent)
-            for task in filling
-            if task.percent != self.percent
+        serving, filling = _sort(running, profiles)
+        self._learn(serving, filling, at)
+        self._margins = {s.name: self._find_margin(s) for s in serving}
+        room = self._find_room(serving)
+        before = self._percents
+        self._percents = {}
+        changes = []
+        high = any(s.ratio > HIGH_RATIO for s in serving)
+        for task in sorted(filling, key=lambda f: self._find_worst(f, room)):
+            key = (task.running.task, task.running.run)
+            old = before.get(key, FULL_PACE)
+            new = min(self._take_room(task, room), old + (0.0 if high else RISE_STEP))
+            self._percents[key] = new
+            if int(new) != int(old):
+                changes.append(PaceChange(*key, int(new)))
+        return changes
+
+    def _learn(
+        self, serving: list[_Serving], filling: list[_Filling], at: timedelta
+    ) -> None:
+        tasks = [SharingTask(s.name, s.image, ratio=s.ratio) for s in serving]
+        tasks += [
+            SharingTask(f.running.task, f.profile.image, cores=f.running.figure / CORE)
+            for f in filling
         ]
+        self._model.observe("", tasks, at)
+
+    def _find_margin(self, task: _Serving) -> float:
+        margin = self._margins.get(task.name, 0.0)
+        if task.ratio > 1:
+            return min(MOST_MARGIN, margin + MARGIN_RISE)
+        if task.ratio < AIM_RATIO:
+            return max(0.0, margin - MARGIN_FALL)
+        return margin
+
+    def _find_room(self, serving: list[_Serving]) -> dict[str, float]:
+        """Return for each serving image the utilization that may be pressed on it."""
+        room: dict[str, float] = {}
+        for task in serving:
+            limit = self._model.find_utilization(task.image, AIM_RATIO)
+            load = self._model.estimate_load("", task.name)
+            left = max(0.0, limit - load - self._margins[task.name])
+            room[task.image] = min(room.get(task.image, left), left)
+        return room
+
+    def _find_pressure(self, task: _Filling, serving: str) -> float:
+        own = self._model.estimate_pressure(task.profile.image, serving)
+        if own.deviation < KNOWN_DEVIATION:
+            return own.mean
+        return task.profile.pressure.get(serving, own.mean)
+
+    def _find_worst(self, task: _Filling, room: Mapping[str, float]) -> float:
+        return max((self._find_pressure(task, image) for image in room), default=0.0)
+
+    def _take_room(self, task: _Filling, room: dict[str, float]) -> float:
+        """Take what a task may use out of the room, and return its pace."""
+        cores = max(task.profile.cpu, 1) / CORE
+        costs = {image: self._find_pressure(task, image) * cores for image in room}
+        percent = FULL_PACE
+        for image, cost in costs.items():
+            if cost > 0:
+                percent = min(percent, room[image] / cost * FULL_PACE)
+        for image, cost in costs.items():
+            room[image] = max(0.0, room[image] - percent / FULL_PACE * cost)
+        return percent
 
 
-def _choose_percent(percent: int, worst: float) -> int:
-    if worst > FALL_ABOVE:
-        return int(percent * FALL_FACTOR)
-    if worst < RISE_BELOW:
-        return min(FULL_PACE, percent + RISE_STEP)
-    return percent
+def _sort(
+    running: Iterable[RunningTask], profiles: Mapping[str, TaskProfile]
+) -> tuple[list[_Serving], list[_Filling]]:
+    serving: list[_Serving] = []
+    filling: list[_Filling] = []
+    for task in running:
+        profile = profiles.get(task.task)
+        if profile is None:
+            continue
+        if profile.target_milliseconds > 0:
+            ratio = task.figure / profile.target_milliseconds
+            serving.append(_Serving(task.task, profile.image, ratio))
+        elif profile.fills:
+            filling.append(_Filling(task, profile))
+    return serving, filling
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -1,5 +1,6 @@
 """What an agent knows of its runner and of the orders it has taken."""
 
+import math
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -19,6 +20,10 @@
 CLOCK_RATE_FLOOR = 0.98
 # Interval of reports that list everything that runs.
 FULL_INTERVAL = timedelta(seconds=1)
+# Span over which the runner averages the figures, and the shortest one between two
+# looks from which a change can be told.
+FIGURE_SPAN = timedelta(milliseconds=450)
+LEAST_SPAN = timedelta(milliseconds=120)
 
 
 class Run(NamedTuple):
@@ -64,6 +69,9 @@
         self._refused: dict[RefusedStart, int] = {}
         self._full_sequence = 0
         self.profiles: dict[str, TaskProfile] = {}
+        # Figures as the runner gave them, and its clock then.
+        self._figures: dict[Run, float] = {}
+        self._listed_at = 0
 
     def _require_full(self) -> None:
         self._full_due = True
@@ -88,7 +96,9 @@
             changed = True
         self.looked = True
         self._clock_base = (look.clock, received_at)
-        listed = {Run(r.task, r.run): r for r in look.running}
+        listed = {Run(r.task, r.run): self._sharpen(r, look) for r in look.running}
+        self._listed_at = look.clock
+        self._figures = {Run(r.task, r.run): r.figure for r in look.running}
         for run, clock in list(self._started.items()):
             if run in listed or look.clock > clock:
                 del self._started[run]
@@ -101,6 +111,19 @@
                 changed = True
         return changed
 
+    def _sharpen(self, task: RunningTask, look: Look) -> RunningTask:
+        """Undo the averaging of a tail, which goes on for a second after its cause."""
+        profile = self.profiles.get(task.task)
+        before = self._figures.get(Run(task.task, task.run))
+        if profile is None or not profile.target_milliseconds or before is None:
+            return task
+        elapsed = timedelta(milliseconds=look.clock - self._listed_at)
+        if elapsed < LEAST_SPAN:
+            return self._running.get(Run(task.task, task.run), task)
+        kept = math.exp(-(elapsed / FIGURE_SPAN))
+        figure = max(0.0, (task.figure - kept * before) / (1 - kept))
+        return task._replace(figure=figure)
+
     def _is_old(self, look: Look) -> bool:
         return self._clock_base is not None and look.clock < self._clock_base[0]
 
@@ -204,7 +227,7 @@
             self._full_sequence = self._full_sequence or self._sequence
             over = {Run(e.task, e.run) for e in self._ended.values()}
             unlisted = [
-                RunningTask(run.task, run.run, "", 100, 0)
+                RunningTask(run.task, run.run, "", 0, 0.0)
                 for run in self._started
                 if run not in self._running and run not in over
             ]
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -146,9 +146,9 @@
 
 def _read_running(row: list[Any]) -> RunningTask | None:
     match row:
-        case [str(task), int(run), str(saved), int(percent), *rest]:
+        case [str(task), int(run), str(saved), int(progress), *rest]:
             figure = rest[0] if rest and isinstance(rest[0], int | float) else 0
-            return RunningTask(task, run, saved, percent, int(figure))
+            return RunningTask(task, run, saved, progress, float(figure))
     return None
 
 
--- a/src/egretcrank/policy/interference.py
+++ b/src/egretcrank/policy/interference.py
@@ -130,13 +130,13 @@
         return dict(doses)
 
 
-class _Model:
-    """Kalman filter over the baseline and the kinds seen in one service and band."""
+class LinearFilter:
+    """Kalman filter of a baseline and of one coefficient for each kind."""
 
-    def __init__(self) -> None:
+    def __init__(self, baseline: Estimate) -> None:
         self.index = {BASELINE: 0}
-        self.means = [1.0]
-        self.covariance = [[BASELINE_DEVIATION**2]]
+        self.means = [baseline.mean]
+        self.covariance = [[baseline.deviation**2]]
         self.updated = timedelta()
 
     def add(self, kind: str, prior: Estimate) -> None:
@@ -156,15 +156,18 @@
             if row[i] < PRIOR_DEVIATION**2:
                 row[i] += DRIFT_PER_HOUR**2 * hours
 
-    def update(self, doses: Mapping[str, float], latency: float) -> None:
-        """Fold one measured latency, given in units of the service's scale."""
+    def predict(self, doses: Mapping[str, float]) -> float:
+        """Return the value to expect beside ``doses``, all of known kinds."""
+        return self.means[0] + sum(
+            self.means[self.index[kind]] * dose for kind, dose in doses.items()
+        )
+
+    def update(self, doses: Mapping[str, float], value: float, noise: float) -> None:
+        """Fold one measured value, whose error has the variance ``noise``."""
         active = [(0, 1.0), *((self.index[kind], dose) for kind, dose in doses.items())]
         cross = [sum(row[i] * dose for i, dose in active) for row in self.covariance]
-        expected = sum(self.means[i] * dose for i, dose in active)
-        # A measured tail latency varies in proportion to the latency itself.
-        noise = (MEASUREMENT_DEVIATION * max(expected, latency, 0.1)) ** 2
         total = sum(cross[i] * dose for i, dose in active) + noise
-        error = latency - expected
+        error = value - self.predict(doses)
         gains = [value / total for value in cross]
         for i, gain in enumerate(gains):
             self.means[i] += gain * error
@@ -177,7 +180,7 @@
     """Estimates for each task kind, service and load band."""
 
     def __init__(self) -> None:
-        self._models: dict[tuple[str, int], _Model] = {}
+        self._models: dict[tuple[str, int], LinearFilter] = {}
         self._scales: dict[str, float] = {}
         self._cache: dict[tuple[str, int, str], Estimate] = {}
 
@@ -191,12 +194,17 @@
             return
         scale = self._scales.setdefault(report.service, report.latency)
         band = find_band(report.load)
-        model = self._models.setdefault((report.service, band), _Model())
+        model = self._models.setdefault(
+            (report.service, band), LinearFilter(Estimate(1.0, BASELINE_DEVIATION))
+        )
         for kind in doses:
             if kind not in model.index:
                 model.add(kind, self._build_prior(report.service, band, kind))
         model.forget(report.end)
-        model.update(doses, report.latency / scale)
+        latency = report.latency / scale
+        # A measured tail latency varies in proportion to the latency itself.
+        deviation = MEASUREMENT_DEVIATION * max(model.predict(doses), latency, 0.1)
+        model.update(doses, latency, deviation**2)
         self._cache.clear()
 
     def estimate(self, service: str, band: int, kind: str) -> Estimate:
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from egretcrank.clock import Clock
+from egretcrank.policy.sharing import CORE, SharingModel, SharingTask
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.definitions import Step, TaskKey, parse_task_key
 from egretcrank.scheduling.hosts import (
@@ -90,6 +91,8 @@
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, HostState] = {}
         self._placements: dict[TaskKey, Placement] = {}
+        self._sharing = SharingModel()
+        self._serving_images: set[str] = set()
         self._changed_jobs: set[str] = set()
         self._changed_hosts: dict[str, bool] = {}
         self._expired: list[str] = []
@@ -220,6 +223,7 @@
         host = self.hosts.get(report.host)
         if host is None:
             host = HostState(report.host, report.address)
+            host.reported_at = now
             self.hosts[report.host] = host
         if host.address != report.address or not host.registered:
             host.address = report.address
@@ -304,8 +308,10 @@
             self._take_run(host, running)
         for task, run in report.starting:
             reported.add((task, run))
-            self._take_run(host, RunningTask(task, run, "", 100, 0))
+            self._take_run(host, RunningTask(task, run, "", 0, 0.0))
         host.foreign = {f for f in host.foreign if (f.task, f.run) in reported}
+        host.sharing = self._find_sharing(host, report)
+        self._sharing.observe(host.name, host.sharing, host.reported_at)
         for key in list(host.tasks):
             placement = self._placements[key]
             if placement.number > report.applied:
@@ -317,6 +323,25 @@
                     StopOrder(key.format(), placement.run)
                 )
 
+    def _find_sharing(
+        self, host: HostState, report: HostReport
+    ) -> tuple[SharingTask, ...]:
+        tasks: list[SharingTask] = []
+        for running in report.running:
+            key = parse_task_key(running.task)
+            placement = self._placements.get(key) if key else None
+            if placement is None or placement.host != host.name:
+                continue
+            step = placement.step.step
+            if step.target:
+                target = step.target / timedelta(milliseconds=1)
+                ratio = running.figure / target
+                tasks.append(SharingTask(running.task, step.image, ratio=ratio))
+            elif step.fills:
+                cores = running.figure / CORE
+                tasks.append(SharingTask(running.task, step.image, cores=cores))
+        return tuple(tasks)
+
     def _take_run(self, host: HostState, running: RunningTask) -> None:
         key = parse_task_key(running.task)
         job = self.jobs.get(key.job_id) if key else None
@@ -441,6 +466,8 @@
         step.spread[host.name] = step.spread.get(host.name, 0) + 1
         host.tasks.add(key)
         host.reserve(step.step)
+        if step.step.target:
+            self._serving_images.add(step.step.image)
         return placement
 
     def _release(self, placement: Placement, reason: str) -> None:
@@ -524,7 +551,7 @@
         for step in self._order_steps():
             service = self._find_queue(step.job).service
             for index in sorted(step.waiting):
-                host = choose_host(step, service, usable)
+                host = choose_host(step, service, usable, self._sharing)
                 if host is None:
                     break
                 self._start(step, index, host)
@@ -571,7 +598,7 @@
                 step.job.definition.spec,
                 task.checkpoint,
                 "",
-                _build_profile(step.step),
+                self._build_profile(step.step),
             )
         )
         logger.info(
@@ -627,12 +654,22 @@
                 ),
             )
 
+    def _build_profile(self, step: Step) -> TaskProfile:
+        target = step.target / timedelta(milliseconds=1)
+        pressure: dict[str, float] = {}
+        if step.fills:
+            pressure = {
+                image: round(self._sharing.estimate_pressure(step.image, image).mean, 3)
+                for image in self._serving_images
+            }
+        return TaskProfile(step.cpu, step.fills, step.image, target, pressure)
+
     def _take_profiles(self, host: HostState) -> dict[str, TaskProfile]:
         if not host.profiles_due:
             return {}
         host.profiles_due = False
         return {
-            key.format(): _build_profile(self._placements[key].step.step)
+            key.format(): self._build_profile(self._placements[key].step.step)
             for key in host.tasks
         }
 
@@ -690,11 +727,6 @@
                 host.registered = True
 
 
-def _build_profile(step: Step) -> TaskProfile:
-    target = step.target / timedelta(milliseconds=1)
-    return TaskProfile(step.cpu, step.fills, step.image, target)
-
-
 def _is_ready(step: StepState, steps: list[StepState]) -> bool:
     if not step.waiting:
         return False
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -1,8 +1,10 @@
 """State of the hosts of a cell at the controller that leads it."""
 
+from collections import Counter
 from datetime import timedelta
 from typing import NamedTuple
 
+from egretcrank.policy.sharing import SharingTask
 from egretcrank.scheduling.definitions import Step, TaskKey
 from egretcrank.wire.hosting import NumberedOrder, RunnerFacts, StartOrder, StopOrder
 
@@ -11,6 +13,8 @@
 SILENT_AFTER = timedelta(milliseconds=1300)
 # Orders that no report confirmed are sent again.
 RESEND_AFTER = timedelta(milliseconds=300)
+# Share of its processors that a serving task uses on average; it reserves its peak.
+SERVING_USE = 0.55
 
 
 class ForeignRun(NamedTuple):
@@ -47,6 +51,12 @@
         self.ends_seen = 0
         self.ends_durable = 0
         self.used_cpu = 0
+        self.serving_cpu = 0
+        # Tasks that serve, and reserved millicores of tasks that fill, by image.
+        self.serving_images: Counter[str] = Counter()
+        self.filling_images: Counter[str] = Counter()
+        # Running tasks with their figures, for what tasks do to one another.
+        self.sharing: tuple[SharingTask, ...] = ()
         self.used_memory = 0
         self.used_accelerators = 0
         self.filling_cpu = 0
@@ -61,11 +71,22 @@
         """Return the unreserved processor time, in thousandths of a core."""
         return (self.runner.cpu if self.runner else 0) - self.used_cpu
 
+    @property
+    def unused_cpu(self) -> float:
+        """Return what is left to one more task that fills, as far as can be told."""
+        capacity = self.runner.cpu if self.runner else 0
+        in_use = self.used_cpu - (1 - SERVING_USE) * self.serving_cpu
+        return capacity - in_use - self.filling_cpu
+
     def reserve(self, step: Step, sign: int = 1) -> None:
         """Reserve what a task needs, or release it with ``sign`` -1."""
         self.used_memory += sign * step.memory
         self.used_accelerators += sign * step.accelerators
+        if step.target:
+            self.serving_cpu += sign * step.cpu
+            self.serving_images[step.image] += sign
         if step.fills:
+            self.filling_images[step.image] += sign * step.cpu
             self.filling_cpu += sign * step.cpu
         else:
             self.used_cpu += sign * step.cpu
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -10,7 +10,7 @@
 
 
 class RunningTask(NamedTuple):
-    """A task that runs; ``percent`` is the pace at which it may work.
+    """A task that runs; ``progress`` is in percent of its work.
 
     ``figure`` is the tail latency in milliseconds of a task that serves, otherwise
     the processor time in use, in thousandths of a core.
@@ -19,8 +19,8 @@
     task: str
     run: int
     checkpoint: str
-    percent: int
-    figure: int
+    progress: int
+    figure: float
 
 
 class EndedTask(NamedTuple):
@@ -60,6 +60,9 @@
 class TaskProfile(NamedTuple):
     """What an agent needs to know of a task that it paces or protects.
 
+    ``pressure`` is the estimated rise of a serving image's utilization for each core
+    that such a task uses.
+
     ``cpu`` is in thousandths of a core; ``target_milliseconds`` bounds the tail latency
     of a task that serves, and is 0 for others.
     """
@@ -68,6 +71,7 @@
     fills: bool
     image: str
     target_milliseconds: float
+    pressure: dict[str, float] = {}
 
 
 class StartOrder(NamedTuple):
