Let tasks that fill wait for a host where they do no harm

Change: a filling task is placed where the pressures of everything that fills, with their uncertainty, stay below the limit; otherwise it waits, but for one task of a job that had nothing running for a second. Jobs that can still be in time go first. After 1.6 s over a target everything that fills stands still.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -179,7 +179,9 @@
         if now - self._paced_at < FIGURE_INTERVAL / 2:
             return []
         self._paced_at = now
-        changes = self._pace.adjust(self._state.running, self._state.profiles, now)
+        changes = self._pace.adjust(
+            self._state.running, self._state.profiles, self._state.figures, now
+        )
         if changes:
             logger.info(
                 "pace", extra={"percents": {c.task: c.percent for c in changes}}
--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from egretcrank.agent.state import Run
 from egretcrank.policy.sharing import (
     CORE,
     PRIOR_PRESSURE,
@@ -27,6 +28,9 @@
 MOST_MARGIN = 1.0
 # Own estimates count once they are this much surer than the prior.
 KNOWN_DEVIATION = PRIOR_PRESSURE.deviation / 2
+# Time over target after which everything that fills stands still until it is below;
+# platforms tolerate about four seconds, and a tail falls within one.
+HARM_LIMIT = timedelta(milliseconds=1600)
 # Interval of the figures; looking twice as often notices a change sooner.
 FIGURE_INTERVAL = timedelta(milliseconds=250)
 
@@ -43,6 +47,8 @@
     name: str
     image: str
     ratio: float
+    # Tail over target as it is listed, averaged by the runner.
+    tail: float
 
 
 class _Filling(NamedTuple):
@@ -62,18 +68,25 @@
         self._model = SharingModel()
         self._percents: dict[tuple[str, int], float] = {}
         self._margins: dict[str, float] = {}
+        self._over_since: dict[str, timedelta] = {}
 
     def adjust(
         self,
         running: Iterable[RunningTask],
         profiles: Mapping[str, TaskProfile],
+        tails: Mapping[Run, float],
         at: timedelta,
     ) -> list[PaceChange]:
-        """Return the paces to change after new figures."""
-        serving, filling = _sort(running, profiles)
+        """Return the paces to change after new figures.
+
+        ``tails`` are the figures of runs before their averaging was undone.
+        """
+        serving, filling = _sort(running, profiles, tails)
         self._learn(serving, filling, at)
         self._margins = {s.name: self._find_margin(s) for s in serving}
         room = self._find_room(serving)
+        if self._is_harmed(serving, at):
+            room = dict.fromkeys(room, 0.0)
         before = self._percents
         self._percents = {}
         changes = []
@@ -97,6 +110,13 @@
         ]
         self._model.observe("", tasks, at)
 
+    def _is_harmed(self, serving: list[_Serving], at: timedelta) -> bool:
+        """Tell whether a task has been over its target for too long to adjust."""
+        self._over_since = {
+            s.name: self._over_since.get(s.name, at) for s in serving if s.tail > 1
+        }
+        return any(at - since >= HARM_LIMIT for since in self._over_since.values())
+
     def _find_margin(self, task: _Serving) -> float:
         margin = self._margins.get(task.name, 0.0)
         if task.ratio > 1:
@@ -138,7 +158,9 @@
 
 
 def _sort(
-    running: Iterable[RunningTask], profiles: Mapping[str, TaskProfile]
+    running: Iterable[RunningTask],
+    profiles: Mapping[str, TaskProfile],
+    tails: Mapping[Run, float],
 ) -> tuple[list[_Serving], list[_Filling]]:
     serving: list[_Serving] = []
     filling: list[_Filling] = []
@@ -147,8 +169,10 @@
         if profile is None:
             continue
         if profile.target_milliseconds > 0:
-            ratio = task.figure / profile.target_milliseconds
-            serving.append(_Serving(task.task, profile.image, ratio))
+            target = profile.target_milliseconds
+            tail = tails.get(Run(task.task, task.run), task.figure) / target
+            ratio = task.figure / target
+            serving.append(_Serving(task.task, profile.image, ratio, tail))
         elif profile.fills:
             filling.append(_Filling(task, profile))
     return serving, filling
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -70,7 +70,7 @@
         self._full_sequence = 0
         self.profiles: dict[str, TaskProfile] = {}
         # Figures as the runner gave them, and its clock then.
-        self._figures: dict[Run, float] = {}
+        self.figures: dict[Run, float] = {}
         self._listed_at = 0
 
     def _require_full(self) -> None:
@@ -98,7 +98,7 @@
         self._clock_base = (look.clock, received_at)
         listed = {Run(r.task, r.run): self._sharpen(r, look) for r in look.running}
         self._listed_at = look.clock
-        self._figures = {Run(r.task, r.run): r.figure for r in look.running}
+        self.figures = {Run(r.task, r.run): r.figure for r in look.running}
         for run, clock in list(self._started.items()):
             if run in listed or look.clock > clock:
                 del self._started[run]
@@ -114,7 +114,7 @@
     def _sharpen(self, task: RunningTask, look: Look) -> RunningTask:
         """Undo the averaging of a tail, which goes on for a second after its cause."""
         profile = self.profiles.get(task.task)
-        before = self._figures.get(Run(task.task, task.run))
+        before = self.figures.get(Run(task.task, task.run))
         if profile is None or not profile.target_milliseconds or before is None:
             return task
         elapsed = timedelta(milliseconds=look.clock - self._listed_at)
--- a/src/egretcrank/policy/sharing.py
+++ b/src/egretcrank/policy/sharing.py
@@ -17,7 +17,9 @@
 FULL_UTILIZATION = 0.97
 # Tail over target of a serving task without load, before one was seen that low.
 PRIOR_FLOOR = 0.17
-LEAST_FLOOR = 0.02
+LEAST_FLOOR = 0.05
+# Weight of a new figure in the average that the floor is taken of.
+AVERAGE_WEIGHT = 0.15
 # Load of a serving task on its own before it was seen.
 PRIOR_LOAD = 0.5
 # Pressure of one core of an unknown pair, as a share of the serving task's utilization.
@@ -71,15 +73,14 @@
         self._floors: dict[str, float] = {}
         self._samples: dict[str, _Sample] = {}
         self._loads: dict[str, dict[str, float]] = {}
+        self._averages: dict[str, dict[str, float]] = {}
 
     def observe(self, host: str, tasks: Iterable[SharingTask], at: timedelta) -> None:
         """Learn from the figures of one host."""
         known = list(tasks)
         doses = sum_doses(known)
         serving = [task for task in known if task.ratio > 0]
-        for task in serving:
-            floor = self._floors.get(task.image, PRIOR_FLOOR)
-            self._floors[task.image] = max(LEAST_FLOOR, min(floor, task.ratio))
+        self._note_floors(host, serving)
         utilizations = {
             task.name: self.find_utilization(task.image, task.ratio) for task in serving
         }
@@ -91,6 +92,18 @@
                     self._learn(task, before, self._samples[host])
         self._note_loads(host, serving, utilizations, doses)
 
+    def _note_floors(self, host: str, serving: list[SharingTask]) -> None:
+        """Follow the lowest tail of each image; single figures are too rough for it."""
+        before = self._averages.get(host, {})
+        averages: dict[str, float] = {}
+        for task in serving:
+            known = before.get(task.name, task.ratio)
+            average = known + AVERAGE_WEIGHT * (task.ratio - known)
+            averages[task.name] = average
+            floor = self._floors.get(task.image, PRIOR_FLOOR)
+            self._floors[task.image] = max(LEAST_FLOOR, min(floor, average))
+        self._averages[host] = averages
+
     def _learn(self, task: SharingTask, before: _Sample, after: _Sample) -> None:
         old = before.utilizations.get(task.name)
         if old is None:
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -56,6 +56,8 @@
 # A host that left the cell's sight is forgotten after this; until then a new leader
 # waits for it.
 FORGET_HOST_AFTER = timedelta(seconds=20)
+# A job with nothing running gets a task even where it has to be paced.
+LONGEST_IDLE = timedelta(seconds=1)
 # Leases that are about to end cannot carry a new task.
 LEAST_AUTHORITY = timedelta(seconds=1)
 
@@ -464,6 +466,8 @@
         step.waiting.discard(index)
         step.tasks[index].run = max(step.tasks[index].run, run)
         step.spread[host.name] = step.spread.get(host.name, 0) + 1
+        step.job.active_runs += 1
+        step.job.idle_since = None
         host.tasks.add(key)
         host.reserve(step.step)
         if step.step.target:
@@ -476,6 +480,9 @@
         step = placement.step
         del self._placements[key]
         step.spread[placement.host] -= 1
+        step.job.active_runs -= 1
+        if not step.job.active_runs:
+            step.job.idle_since = self._clock.boottime()
         host = self.hosts[placement.host]
         host.tasks.discard(key)
         host.reserve(step.step, -1)
@@ -551,18 +558,28 @@
         for step in self._order_steps():
             service = self._find_queue(step.job).service
             for index in sorted(step.waiting):
-                host = choose_host(step, service, usable, self._sharing)
-                if host is None:
+                choice = choose_host(step, service, usable, self._sharing)
+                if choice is None or (choice.harm > 0 and not self._must_run(step.job)):
                     break
-                self._start(step, index, host)
+                self._start(step, index, choice.host)
+
+    def _must_run(self, job: Job) -> bool:
+        """Tell whether a job has had nothing running for as long as it may."""
+        if job.idle_since is None and not job.active_runs:
+            job.idle_since = self._clock.boottime()
+        return (
+            job.idle_since is not None
+            and self._clock.boottime() - job.idle_since > LONGEST_IDLE
+        )
 
     def _order_steps(self) -> list[StepState]:
         """Order the steps whose turn has come: by priority, then by objective.
 
-        Answers overload: what can still be in time goes before what cannot.
+        Answers overload: what can still be in time goes before what will be late, and
+        both before what is so late that it no longer matters when it ends.
         """
         now = self._clock.now()
-        ordered: list[tuple[int, bool, datetime, int, StepState]] = []
+        ordered: list[tuple[int, int, datetime, int, StepState]] = []
         for job in self.jobs.values():
             if job.phase.final or not self._may_start(job):
                 continue
@@ -573,12 +590,12 @@
                     continue
                 deadline = job.find_deadline(number, queue)
                 due = job.due_at(number)
-                late = now > due + LATE_FACTOR * (deadline - due)
+                ends = now + job.find_remaining(number)
+                lateness = int(ends > deadline)
+                lateness += int(ends > due + LATE_FACTOR * (deadline - due))
                 for step in ready:
-                    lasts = step.step.lasting
-                    ordered.append(
-                        (queue.priority, late and not lasts, deadline, job.offset, step)
-                    )
+                    rank = 0 if step.step.lasting else lateness
+                    ordered.append((queue.priority, rank, deadline, job.offset, step))
         ordered.sort(key=lambda row: (row[0], row[1], row[2], row[3]))
         return [row[-1] for row in ordered]
 
--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -15,10 +15,14 @@
 
 
 class Candidate(NamedTuple):
-    """A host that can hold a task, with its rank; the highest one is chosen."""
+    """A host that can hold a task, with its rank; the highest one is chosen.
+
+    ``harm`` is the utilization over the limit of a serving task that is to be expected.
+    """
 
     rank: tuple[float, ...]
     host: HostState
+    harm: float
 
 
 def choose_host(
@@ -26,7 +30,7 @@
     service: str,
     hosts: Iterable[HostState],
     sharing: SharingModel,
-) -> HostState | None:
+) -> Candidate | None:
     """Choose among usable hosts the one with most room near the task's data.
 
     Answers three loads. Many short tasks go where processors are free. Tasks that serve
@@ -37,10 +41,13 @@
     for host in hosts:
         if not is_eligible(step, service, host):
             continue
-        candidate = Candidate(_rank(step, host, sharing), host)
+        harm = 0.0
+        if step.step.fills:
+            harm = _predict_harm(step.step, host, sharing)
+        candidate = Candidate(_rank(step, host, harm), host, harm)
         if best is None or candidate.rank > best.rank:
             best = candidate
-    return best.host if best else None
+    return best
 
 
 def is_eligible(step: StepState, service: str, host: HostState) -> bool:
@@ -55,11 +62,10 @@
     return not limit or step.spread.get(host.name, 0) < limit
 
 
-def _rank(step: StepState, host: HostState, sharing: SharingModel) -> tuple[float, ...]:
+def _rank(step: StepState, host: HostState, harm: float) -> tuple[float, ...]:
     definition = step.step
     near = bool(definition.rack) and host.rack == definition.rack
     if definition.fills:
-        harm = _predict_harm(definition, host, sharing)
         return (near, -harm, host.unused_cpu, -host.used_memory)
     if definition.target:
         images = +host.serving_images
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -132,6 +132,9 @@
         self.phase = Phase.QUEUED
         self.ended_at: datetime | None = None
         self.occurrences: dict[int, list[StepState]] = {}
+        # Runs that hold capacity, and since when there is none.
+        self.active_runs = 0
+        self.idle_since: timedelta | None = None
         self._chain = _find_longest_chain(definition.steps)
 
     @property
@@ -173,6 +176,15 @@
         objective = queue.stretch * self._chain + queue.target_latency
         return self.due_at(occurrence) + objective
 
+    def find_remaining(self, occurrence: int) -> timedelta:
+        """Return the longest chain of work that is left, by the estimates."""
+        steps = self.occurrences[occurrence]
+        left = [
+            step.step._replace(estimate=timedelta()) if step.complete else step.step
+            for step in steps
+        ]
+        return _find_longest_chain(tuple(left))
+
     def is_complete(self) -> bool:
         """Tell whether every occurrence is complete."""
         return len(self.occurrences) == self.total and all(
