Put together what the hosts learn of pairs

Cause: each host learned alone and from few samples; wrong blame stayed, and a margin of 0.72 took nine seconds to fall, so that hosts with a load of 0.2 stood still. Change: hosts report pressures and the room of what serves; the leader merges them by their precision and returns them. Serving tasks are packed by image, so that some hosts stay free for what fills.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -13,7 +13,7 @@
 
 from egretcrank.agent.link import AnnouncementReceiver, LeaderLink, LeaderMessage
 from egretcrank.agent.pace import FIGURE_INTERVAL, PaceChange, PaceController
-from egretcrank.agent.state import AgentState, Identity, Run
+from egretcrank.agent.state import AgentState, Identity
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.controller.election import CELL, GROUP
 from egretcrank.errors.kinds import ErrorKind
@@ -25,6 +25,7 @@
     HostOrders,
     LeaderMoved,
     NumberedOrder,
+    Run,
     StartOrder,
     StopOrder,
 )
@@ -212,6 +213,7 @@
         with self._lock:
             epoch = self._state.epoch
             orders = self._state.take_orders(message)
+            self._pace.take_pressures(message.pressures)
             self._state.confirm_report(message.report_sequence, message.epoch)
             if message.epoch >= self._state.epoch:
                 self._state.heard_at = self._clock.boottime()
@@ -313,7 +315,7 @@
             self._report_due.clear()
             self._choose_leader()
             with self._lock:
-                report = self._state.build_report(self._clock.boottime())
+                report = self._state.build_report(self._clock.boottime(), self._pace)
             self._link.send(report)
 
     def _choose_leader(self) -> None:
--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -4,14 +4,19 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from egretcrank.agent.state import Run
+from egretcrank.policy.interference import Estimate
 from egretcrank.policy.sharing import (
     CORE,
-    PRIOR_PRESSURE,
     SharingModel,
     SharingTask,
 )
-from egretcrank.wire.hosting import RunningTask, TaskProfile
+from egretcrank.wire.hosting import (
+    Pressure,
+    Run,
+    RunningTask,
+    ServingRoom,
+    TaskProfile,
+)
 
 FULL_PACE = 100.0
 # Tail over target that paces are set for. The rest is for swings of the load until the
@@ -24,10 +29,10 @@
 # Utilization that is kept free beside a task over its target, more with each figure,
 # and given back with each one that is far below: what no estimate explains.
 MARGIN_RISE = 0.1
-MARGIN_FALL = 0.02
+MARGIN_FALL = 0.08
 MOST_MARGIN = 1.0
-# Own estimates count once they are this much surer than the prior.
-KNOWN_DEVIATION = PRIOR_PRESSURE.deviation / 2
+# Tail over target up to which a host offers room for more tasks.
+OFFERED_RATIO = 0.75
 # Time over target after which everything that fills stands still until it is below;
 # platforms tolerate about four seconds, and a tail falls within one.
 HARM_LIMIT = timedelta(milliseconds=1600)
@@ -69,6 +74,19 @@
         self._percents: dict[tuple[str, int], float] = {}
         self._margins: dict[str, float] = {}
         self._over_since: dict[str, timedelta] = {}
+        self._told: dict[tuple[str, str], Estimate] = {}
+        self.rooms: tuple[ServingRoom, ...] = ()
+
+    @property
+    def pressures(self) -> tuple[Pressure, ...]:
+        """Return what this host has learned by itself."""
+        return self._model.list_pressures()
+
+    def take_pressures(self, pressures: Iterable[Pressure]) -> None:
+        """Take what all hosts together have learned."""
+        for known in pressures:
+            estimate = Estimate(known.mean, known.deviation)
+            self._told[known.filling, known.serving] = estimate
 
     def adjust(
         self,
@@ -109,6 +127,8 @@
             for f in filling
         ]
         self._model.observe("", tasks, at)
+        rooms = self._model.find_rooms("", tasks, OFFERED_RATIO)
+        self.rooms = tuple(ServingRoom(*item) for item in rooms.items())
 
     def _is_harmed(self, serving: list[_Serving], at: timedelta) -> bool:
         """Tell whether a task has been over its target for too long to adjust."""
@@ -137,9 +157,8 @@
 
     def _find_pressure(self, task: _Filling, serving: str) -> float:
         own = self._model.estimate_pressure(task.profile.image, serving)
-        if own.deviation < KNOWN_DEVIATION:
-            return own.mean
-        return task.profile.pressure.get(serving, own.mean)
+        told = self._told.get((task.profile.image, serving), own)
+        return min(own, told, key=lambda estimate: estimate.deviation).mean
 
     def _find_worst(self, task: _Filling, room: Mapping[str, float]) -> float:
         return max((self._find_pressure(task, image) for image in room), default=0.0)
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from egretcrank.agent.pace import PaceController
 from egretcrank.platform.runner import Look
 from egretcrank.wire.hosting import (
     EndedTask,
@@ -11,6 +12,7 @@
     HostReport,
     NumberedOrder,
     RefusedStart,
+    Run,
     RunnerFacts,
     RunningTask,
     TaskProfile,
@@ -26,13 +28,6 @@
 LEAST_SPAN = timedelta(milliseconds=120)
 
 
-class Run(NamedTuple):
-    """A numbered run of a task."""
-
-    task: str
-    run: int
-
-
 class Identity(NamedTuple):
     """Who reports."""
 
@@ -215,7 +210,7 @@
 
     # Reports
 
-    def build_report(self, now: timedelta) -> HostReport:
+    def build_report(self, now: timedelta, pace: PaceController) -> HostReport:
         """Build the next report."""
         self._sequence += 1
         full = self._full_due or now - self._full_at >= FULL_INTERVAL
@@ -251,6 +246,8 @@
                 self._ended[n] for n in sorted(self._ended) if n > self._seen_ends
             ),
             refused=tuple(self._refused),
+            pressures=pace.pressures if full else (),
+            rooms=pace.rooms if full else (),
             unprofiled=sum(r.task not in self.profiles for r in self._running),
         )
 
--- a/src/egretcrank/policy/sharing.py
+++ b/src/egretcrank/policy/sharing.py
@@ -11,7 +11,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from egretcrank.policy.interference import Estimate, LinearFilter
+from egretcrank.policy.interference import BASELINE, Estimate, LinearFilter
+from egretcrank.wire.hosting import Pressure
 
 # Utilization from which on a tail tells only that the queue is full.
 FULL_UTILIZATION = 0.97
@@ -28,9 +29,13 @@
 # task, which swings over many seconds, changes by about the deviation.
 LEAST_SPAN = timedelta(milliseconds=400)
 LONGEST_SPAN = timedelta(milliseconds=2500)
-CHANGE_DEVIATION = 0.12
+CHANGE_DEVIATION = 0.2
 # Weight of a new sample of a serving task's own load.
 LOAD_WEIGHT = 0.3
+# What one host may claim to know at most, as its samples are not independent.
+LEAST_DEVIATION = 0.01
+# Share of the prior's deviation below which a pair counts as known in part.
+KNOWN_SHARE = 0.95
 # Millicores in a core.
 CORE = 1000
 
@@ -171,6 +176,77 @@
             max(0.0, model.means[i]), max(0.0, model.covariance[i][i]) ** 0.5
         )
 
+    def list_pressures(self) -> tuple[Pressure, ...]:
+        """List the pairs of which something was learned."""
+        return tuple(
+            Pressure(filling, serving, round(estimate.mean, 4), estimate.deviation)
+            for serving, model in self._filters.items()
+            for filling in model.index
+            if filling != BASELINE
+            and (estimate := self.estimate_pressure(filling, serving)).deviation
+            < PRIOR_PRESSURE.deviation * KNOWN_SHARE
+        )
+
+    def find_rooms(
+        self, host: str, tasks: Iterable[SharingTask], ratio: float
+    ) -> dict[str, float]:
+        """Return the utilization that may be pressed on each serving image.
+
+        ``ratio`` is the tail over target up to which it is.
+        """
+        rooms: dict[str, float] = {}
+        for task in tasks:
+            if task.ratio > 0:
+                limit = self.find_utilization(task.image, ratio)
+                left = limit - self.estimate_load(host, task.name)
+                rooms[task.image] = min(rooms.get(task.image, left), left)
+        return rooms
+
     def estimate_load(self, host: str, name: str) -> float:
         """Return the utilization of a serving task on its own."""
         return self._loads.get(host, {}).get(name, PRIOR_LOAD)
+
+
+class PressureTable:
+    """What the hosts learned of each pair, put together."""
+
+    def __init__(self) -> None:
+        self._by_host: dict[str, dict[tuple[str, str], Pressure]] = {}
+        self._merged: dict[tuple[str, str], Estimate] = {}
+
+    def take(self, host: str, pressures: Iterable[Pressure]) -> None:
+        """Take what one host has learned by itself."""
+        known = {(p.filling, p.serving): p for p in pressures}
+        if known != self._by_host.get(host):
+            self._by_host[host] = known
+            self._merged.clear()
+
+    def estimate(self, filling: str, serving: str) -> Estimate:
+        """Return the pressure of a pair; each host started from the same prior."""
+        pair = (filling, serving)
+        if pair not in self._merged:
+            self._merged[pair] = self._merge(pair)
+        return self._merged[pair]
+
+    def _merge(self, pair: tuple[str, str]) -> Estimate:
+        prior = 1 / PRIOR_PRESSURE.deviation**2
+        precision = prior
+        weighted = prior * PRIOR_PRESSURE.mean
+        for known in self._by_host.values():
+            found = known.get(pair)
+            if found is not None:
+                own = 1 / max(found.deviation, LEAST_DEVIATION) ** 2
+                precision += own - prior
+                weighted += own * found.mean - prior * PRIOR_PRESSURE.mean
+        return Estimate(max(0.0, weighted / precision), precision**-0.5)
+
+    def list_for(self, serving: Iterable[str]) -> tuple[Pressure, ...]:
+        """List the known pairs of some serving images."""
+        wanted = set(serving)
+        pairs = {
+            pair
+            for known in self._by_host.values()
+            for pair in known
+            if pair[1] in wanted
+        }
+        return tuple(Pressure(*pair, *self.estimate(*pair)) for pair in sorted(pairs))
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -11,7 +11,7 @@
 from typing import NamedTuple
 
 from egretcrank.clock import Clock
-from egretcrank.policy.sharing import CORE, SharingModel, SharingTask
+from egretcrank.policy.sharing import PressureTable
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.definitions import Step, TaskKey, parse_task_key
 from egretcrank.scheduling.hosts import (
@@ -42,6 +42,7 @@
     HostOrders,
     HostReport,
     NumberedOrder,
+    Pressure,
     RefusedStart,
     RunningTask,
     StartOrder,
@@ -93,8 +94,7 @@
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, HostState] = {}
         self._placements: dict[TaskKey, Placement] = {}
-        self._sharing = SharingModel()
-        self._serving_images: set[str] = set()
+        self._pressures = PressureTable()
         self._changed_jobs: set[str] = set()
         self._changed_hosts: dict[str, bool] = {}
         self._expired: list[str] = []
@@ -312,8 +312,9 @@
             reported.add((task, run))
             self._take_run(host, RunningTask(task, run, "", 0, 0.0))
         host.foreign = {f for f in host.foreign if (f.task, f.run) in reported}
-        host.sharing = self._find_sharing(host, report)
-        self._sharing.observe(host.name, host.sharing, host.reported_at)
+        host.rooms = {room.image: room.room for room in report.rooms}
+        host.pressures_due = True
+        self._pressures.take(host.name, report.pressures)
         for key in list(host.tasks):
             placement = self._placements[key]
             if placement.number > report.applied:
@@ -325,25 +326,6 @@
                     StopOrder(key.format(), placement.run)
                 )
 
-    def _find_sharing(
-        self, host: HostState, report: HostReport
-    ) -> tuple[SharingTask, ...]:
-        tasks: list[SharingTask] = []
-        for running in report.running:
-            key = parse_task_key(running.task)
-            placement = self._placements.get(key) if key else None
-            if placement is None or placement.host != host.name:
-                continue
-            step = placement.step.step
-            if step.target:
-                target = step.target / timedelta(milliseconds=1)
-                ratio = running.figure / target
-                tasks.append(SharingTask(running.task, step.image, ratio=ratio))
-            elif step.fills:
-                cores = running.figure / CORE
-                tasks.append(SharingTask(running.task, step.image, cores=cores))
-        return tuple(tasks)
-
     def _take_run(self, host: HostState, running: RunningTask) -> None:
         key = parse_task_key(running.task)
         job = self.jobs.get(key.job_id) if key else None
@@ -470,8 +452,6 @@
         step.job.idle_since = None
         host.tasks.add(key)
         host.reserve(step.step)
-        if step.step.target:
-            self._serving_images.add(step.step.image)
         return placement
 
     def _release(self, placement: Placement, reason: str) -> None:
@@ -558,7 +538,7 @@
         for step in self._order_steps():
             service = self._find_queue(step.job).service
             for index in sorted(step.waiting):
-                choice = choose_host(step, service, usable, self._sharing)
+                choice = choose_host(step, service, usable, self._pressures)
                 if choice is None or (choice.harm > 0 and not self._must_run(step.job)):
                     break
                 self._start(step, index, choice.host)
@@ -615,7 +595,7 @@
                 step.job.definition.spec,
                 task.checkpoint,
                 "",
-                self._build_profile(step.step),
+                _build_profile(step.step),
             )
         )
         logger.info(
@@ -667,29 +647,26 @@
                     durable_ends=host.ends_durable,
                     orders=sent,
                     profiles=self._take_profiles(host),
+                    pressures=self._take_pressures(host),
                     controllers=self.controllers,
                 ),
             )
 
-    def _build_profile(self, step: Step) -> TaskProfile:
-        target = step.target / timedelta(milliseconds=1)
-        pressure: dict[str, float] = {}
-        if step.fills:
-            pressure = {
-                image: round(self._sharing.estimate_pressure(step.image, image).mean, 3)
-                for image in self._serving_images
-            }
-        return TaskProfile(step.cpu, step.fills, step.image, target, pressure)
-
     def _take_profiles(self, host: HostState) -> dict[str, TaskProfile]:
         if not host.profiles_due:
             return {}
         host.profiles_due = False
         return {
-            key.format(): self._build_profile(self._placements[key].step.step)
+            key.format(): _build_profile(self._placements[key].step.step)
             for key in host.tasks
         }
 
+    def _take_pressures(self, host: HostState) -> tuple[Pressure, ...]:
+        if not host.pressures_due:
+            return ()
+        host.pressures_due = False
+        return self._pressures.list_for(+host.serving_images)
+
     def take_changes(self) -> Changes:
         """Return what has to be made durable."""
         records = [
@@ -744,6 +721,11 @@
                 host.registered = True
 
 
+def _build_profile(step: Step) -> TaskProfile:
+    target = step.target / timedelta(milliseconds=1)
+    return TaskProfile(step.cpu, step.fills, step.image, target)
+
+
 def _is_ready(step: StepState, steps: list[StepState]) -> bool:
     if not step.waiting:
         return False
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from egretcrank.policy.sharing import SharingTask
 from egretcrank.scheduling.definitions import Step, TaskKey
 from egretcrank.wire.hosting import NumberedOrder, RunnerFacts, StartOrder, StopOrder
 
@@ -55,8 +54,9 @@
         # Tasks that serve, and reserved millicores of tasks that fill, by image.
         self.serving_images: Counter[str] = Counter()
         self.filling_images: Counter[str] = Counter()
-        # Running tasks with their figures, for what tasks do to one another.
-        self.sharing: tuple[SharingTask, ...] = ()
+        # Utilization that may be pressed on each serving image.
+        self.rooms: dict[str, float] = {}
+        self.pressures_due = False
         self.used_memory = 0
         self.used_accelerators = 0
         self.filling_cpu = 0
--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -1,17 +1,22 @@
 """Choice of the host of a task."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Sequence
 from typing import NamedTuple
 
-from egretcrank.policy.sharing import CORE, SharingModel
+from egretcrank.policy.sharing import CORE, PressureTable
 from egretcrank.scheduling.definitions import Step
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.tasks import StepState
 
-# Tail over target up to which a host is as good as an empty one; swings of the load of
-# what serves need the rest.
-HARMLESS_RATIO = 0.75
+# Utilization left to what fills beside a serving task that was not seen yet.
+UNKNOWN_ROOM = 0.2
+# Share of hosts without serving tasks up to which a new image opens another one.
+SPARE_SHARE = 0.35
+SAME_RANK = 0.0
+EMPTY_RANK = -1.0
+MIXED_RANK = -1.0
+LAST_RANK = -1000.0
 
 
 class Candidate(NamedTuple):
@@ -28,23 +33,27 @@
 def choose_host(
     step: StepState,
     service: str,
-    hosts: Iterable[HostState],
-    sharing: SharingModel,
+    hosts: Sequence[HostState],
+    pressures: PressureTable,
 ) -> Candidate | None:
     """Choose among usable hosts the one with most room near the task's data.
 
     Answers three loads. Many short tasks go where processors are free. Tasks that serve
-    are kept together by image, so that each image that fills finds hosts on which it
-    presses on none. Tasks that fill go where the tails stay below their targets.
+    are packed, together by image, so that what fills finds hosts on which it presses on
+    none. Tasks that fill go where the tails stay below their targets.
     """
     best: Candidate | None = None
+    spare = False
+    if step.step.target:
+        empty = sum(not +host.serving_images for host in hosts)
+        spare = empty > SPARE_SHARE * len(hosts)
     for host in hosts:
         if not is_eligible(step, service, host):
             continue
         harm = 0.0
         if step.step.fills:
-            harm = _predict_harm(step.step, host, sharing)
-        candidate = Candidate(_rank(step, host, harm), host, harm)
+            harm = _predict_harm(step.step, host, pressures)
+        candidate = Candidate(_rank(step, host, harm, spare), host, harm)
         if best is None or candidate.rank > best.rank:
             best = candidate
     return best
@@ -62,19 +71,31 @@
     return not limit or step.spread.get(host.name, 0) < limit
 
 
-def _rank(step: StepState, host: HostState, harm: float) -> tuple[float, ...]:
+def _rank(
+    step: StepState, host: HostState, harm: float, spare: bool
+) -> tuple[float, ...]:
     definition = step.step
     near = bool(definition.rack) and host.rack == definition.rack
     if definition.fills:
         return (near, -harm, host.unused_cpu, -host.used_memory)
     if definition.target:
-        images = +host.serving_images
-        mixed = len(images.keys() - {definition.image})
-        return (near, -mixed, host.free_cpu)
+        return (near, _rank_for_serving(definition.image, host, spare), -host.free_cpu)
     return (near, host.free_cpu, -host.filling_cpu)
 
 
-def _predict_harm(step: Step, host: HostState, sharing: SharingModel) -> float:
+def _rank_for_serving(image: str, host: HostState, spare: bool) -> float:
+    """Rank a host by the images that serve there.
+
+    An empty host is opened for another image only while many are empty; after that
+    images are mixed, so that some hosts stay free for what fills.
+    """
+    images = +host.serving_images
+    if not images:
+        return EMPTY_RANK if spare else LAST_RANK
+    return SAME_RANK if set(images) == {image} else MIXED_RANK - len(images)
+
+
+def _predict_harm(step: Step, host: HostState, pressures: PressureTable) -> float:
     """Return by how much utilizations would be over the limit beside one more task.
 
     What fills counts with all that it may use, and with the uncertainty of its pair, so
@@ -82,13 +103,10 @@
     """
     filling = host.filling_images + Counter({step.image: step.cpu})
     worst = 0.0
-    for task in host.sharing:
-        if task.ratio <= 0:
-            continue
-        used = sharing.estimate_load(host.name, task.name)
+    for serving in +host.serving_images:
+        used = 0.0
         for image, cpu in filling.items():
-            pressure = sharing.estimate_pressure(image, task.image)
+            pressure = pressures.estimate(image, serving)
             used += (pressure.mean + pressure.deviation) * cpu / CORE
-        limit = sharing.find_utilization(task.image, HARMLESS_RATIO)
-        worst = max(worst, used - limit)
+        worst = max(worst, used - host.rooms.get(serving, UNKNOWN_ROOM))
     return worst
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -9,6 +9,13 @@
 from typing import NamedTuple
 
 
+class Run(NamedTuple):
+    """A numbered run of a task."""
+
+    task: str
+    run: int
+
+
 class RunningTask(NamedTuple):
     """A task that runs; ``progress`` is in percent of its work.
 
@@ -33,6 +40,22 @@
     checkpoint: str
 
 
+class Pressure(NamedTuple):
+    """Rise of a serving image's utilization for each core that a filling image uses."""
+
+    filling: str
+    serving: str
+    mean: float
+    deviation: float
+
+
+class ServingRoom(NamedTuple):
+    """Utilization that may be pressed on the tasks of a serving image on a host."""
+
+    image: str
+    room: float
+
+
 class RefusedStart(NamedTuple):
     """A start that certainly had no effect."""
 
@@ -60,9 +83,6 @@
 class TaskProfile(NamedTuple):
     """What an agent needs to know of a task that it paces or protects.
 
-    ``pressure`` is the estimated rise of a serving image's utilization for each core
-    that such a task uses.
-
     ``cpu`` is in thousandths of a core; ``target_milliseconds`` bounds the tail latency
     of a task that serves, and is 0 for others.
     """
@@ -71,7 +91,6 @@
     fills: bool
     image: str
     target_milliseconds: float
-    pressure: dict[str, float] = {}
 
 
 class StartOrder(NamedTuple):
@@ -107,7 +126,9 @@
     ``incarnation`` is new with each start of the agent. ``applied`` is the highest
     order number taken in the session of ``epoch``. ``running`` and ``starting`` are
     complete if ``full`` is set and empty otherwise. ``sent_at`` is a reading of the
-    agent's own clock, which the controller returns.
+    agent's own clock, which the controller returns. ``pressures`` are what this host
+    learned by itself, ``rooms`` what its serving tasks have left; both come with
+    ``full``.
     """
 
     host: str = ""
@@ -123,6 +144,8 @@
     starting: tuple[tuple[str, int], ...] = ()
     ended: tuple[EndedTask, ...] = ()
     refused: tuple[RefusedStart, ...] = ()
+    pressures: tuple[Pressure, ...] = ()
+    rooms: tuple[ServingRoom, ...] = ()
     unprofiled: int = 0
     leaving: bool = False
 
@@ -146,6 +169,7 @@
     durable_ends: int = 0
     orders: tuple[NumberedOrder, ...] = ()
     profiles: dict[str, TaskProfile] = field(default_factory=dict)
+    pressures: tuple[Pressure, ...] = ()
     controllers: tuple[str, ...] = ()
 
 
