Keep checkpoints on the log, drop hosts that left, refuse in an outage

Change: numbers count records only; a host that left or whose lease is over is dropped from the log; checkpoints are recorded each two seconds; a controller whose reads fail refuses at once; it ends 1.4 s before the grace time does. Membership lapses after 1 s.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -1,6 +1,7 @@
 """Agent process: its threads, and the way from an order to the runner."""
 
 import logging
+import os
 import signal
 import threading
 import time
@@ -96,6 +97,8 @@
         while not self._stopping.wait(1.0):
             pass
         logger.info("stopped")
+        # The runner keeps its tasks; a successor with a higher token takes over.
+        os._exit(0)
 
     # Runner
 
@@ -116,6 +119,11 @@
 
     def _take_leave(self, runner_id: str) -> None:
         logger.info("runner left", extra={"runner": runner_id})
+        with self._lock:
+            known = self._state.runner
+            if known is not None and known.runner_id == runner_id:
+                self._state.left = True
+        self._report_due.set()
 
     def _run_looks(self) -> None:
         wait = timedelta()
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -48,6 +48,7 @@
         self.controllers: tuple[str, ...] = ()
         self.runner: RunnerFacts | None = None
         self.looked = False
+        self.left = False
         self.born = 0
         self.durable_ends = 0
         self._seen_ends = 0
@@ -79,6 +80,7 @@
         if self.born and runner.born < self.born:
             return
         self.runner = runner
+        self.left = False
 
     def take_look(self, look: Look, received_at: timedelta) -> bool:
         """Take a list of runs and ends; tell whether it has something to report."""
@@ -249,6 +251,7 @@
             pressures=pace.pressures if full else (),
             rooms=pace.rooms if full else (),
             unprofiled=sum(r.task not in self.profiles for r in self._running),
+            leaving=self.left,
         )
 
     def _knows_life(self) -> bool:
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -1,6 +1,7 @@
 """Controller process: its threads, and the way from an event to a decision."""
 
 import logging
+import os
 import signal
 import threading
 import time
@@ -51,8 +52,11 @@
 # Due times, silent hosts and leases are looked at this often.
 TICK = timedelta(milliseconds=100)
 ANNOUNCE_INTERVAL = timedelta(milliseconds=400)
-# What is left of the grace time when the process ends by itself.
-GRACE_MARGIN = timedelta(milliseconds=700)
+# What is left of the grace time when the process ends by itself, and what is left at
+# least when a request is still in flight.
+GRACE_MARGIN = timedelta(milliseconds=1400)
+LAST_MARGIN = timedelta(milliseconds=600)
+LAST_CHECK = timedelta(milliseconds=20)
 CATCH_UP_TIMEOUT = timedelta(seconds=5)
 LEADER_KEY = RecordKey(RecordKind.LEADER, str(CELL))
 
@@ -122,12 +126,23 @@
 
     def _shut_down(self) -> None:
         """Hand the leadership over, and go on answering while callers may send."""
+        ends_at = self._clock.boottime() + self._settings.bounds.grace_seconds
         logger.info("stopping")
         self._ingress.closing = True
         self._resign("process stops")
         Election(self._store, self._member).leave()
-        time.sleep((self._settings.bounds.grace_seconds - GRACE_MARGIN).total_seconds())
-        logger.info("stopped")
+        self._sleep_until(ends_at - GRACE_MARGIN)
+        while (
+            self._ingress.in_flight and self._clock.boottime() < ends_at - LAST_MARGIN
+        ):
+            time.sleep(LAST_CHECK.total_seconds())
+        logger.info("stopped", extra={"in_flight": self._ingress.in_flight})
+        os._exit(0)
+
+    def _sleep_until(self, at: timedelta) -> None:
+        left = at - self._clock.boottime()
+        if left > timedelta():
+            time.sleep(left.total_seconds())
 
     def _is_ready(self) -> bool:
         return (
--- a/src/egretcrank/controller/election.py
+++ b/src/egretcrank/controller/election.py
@@ -20,8 +20,8 @@
 JOBS_TOPIC = "keyed.cells"
 # A controller that is silent for this long loses the leadership; it joins thrice
 # in that time.
-MEMBERSHIP_TTL = timedelta(milliseconds=1500)
-JOIN_INTERVAL = timedelta(milliseconds=500)
+MEMBERSHIP_TTL = timedelta(milliseconds=1000)
+JOIN_INTERVAL = timedelta(milliseconds=330)
 
 logger = logging.getLogger(__name__)
 
@@ -86,7 +86,8 @@
         writer = Writer(PRODUCER, self.epoch, self._sequence)
         match self._store.append(JOBS_TOPIC, CELL, records, writer):
             case Success(appended):
-                self._sequence += 1
+                # An append without records proves the epoch and takes no number.
+                self._sequence += bool(records)
                 # A repeated append gets its first answer again, which proves
                 # nothing about the time of the repetition.
                 self.proven_at = self._first_sent_at
--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -29,6 +29,8 @@
 APPEND_PAUSE = timedelta(milliseconds=100)
 # Left of the caller's time for the answer to arrive.
 ANSWER_MARGIN = timedelta(milliseconds=150)
+# Reads that fail for this long tell that the log is away.
+OUTAGE_AFTER = timedelta(milliseconds=400)
 RETRY_AFTER_OUTAGE = timedelta(seconds=1)
 PRESENT = b"1"
 
@@ -77,6 +79,12 @@
         if entry is not None:
             logger.info("job known", extra={"job": definition.job_id})
             return Success(JobState(entry.phase))
+        outage = self._find_outage()
+        if outage is not None:
+            logger.info(
+                "job refused", extra={"job": definition.job_id, "why": "outage"}
+            )
+            return Failure(outage)
         key = RecordKey(RecordKind.JOB, definition.job_id)
         stored = self._append(key, encode_record(definition), limit)
         logger.info(
@@ -117,6 +125,22 @@
         """Count the accepted jobs of a queue of which no task has started."""
         return self._table.count_waiting(queue.name)
 
+    def _find_outage(self) -> Problem | None:
+        """Tell that the log is away, before a call to it has an uncertain outcome.
+
+        Answers a long outage: a refusal that certainly means not run lets the caller
+        try again elsewhere or later, which an unanswered call does not.
+        """
+        since = self._tail.failing_since
+        if since is None or self._clock.boottime() - since < OUTAGE_AFTER:
+            return None
+        return Problem(
+            ErrorKind.LOG_UNAVAILABLE,
+            "the log is away",
+            "log",
+            retry_after=RETRY_AFTER_OUTAGE,
+        )
+
     def _report_unknown(self, job_id: str) -> Problem:
         age = self._tail.find_age()
         if age > FRESH:
--- a/src/egretcrank/controller/tail.py
+++ b/src/egretcrank/controller/tail.py
@@ -44,6 +44,7 @@
         self._progress = threading.Condition()
         self._stopped = threading.Event()
         self._available = True
+        self.failing_since: timedelta | None = None
 
     @property
     def position(self) -> int:
@@ -69,6 +70,7 @@
             began = self._clock.boottime()
             match self._read():
                 case Success(page):
+                    self.failing_since = None
                     self._note_available(True, "")
                     if page.records:
                         self._take(page.records)
@@ -83,6 +85,8 @@
                     )
                     self._position = None
                 case Failure(problem):
+                    if self.failing_since is None:
+                        self.failing_since = began
                     self._note_available(False, problem.detail)
                     self._stopped.wait(RETRY_AFTER.total_seconds())
 
--- a/src/egretcrank/platform/ingress.py
+++ b/src/egretcrank/platform/ingress.py
@@ -1,6 +1,7 @@
 """HTTP interface of the platform for callers, a WSGI application."""
 
 import logging
+import threading
 from collections.abc import Callable, Iterable
 from datetime import UTC, datetime, timedelta
 from http import HTTPStatus
@@ -77,9 +78,22 @@
         self._service = service
         self._clock = clock
         self.closing = False
+        self._count_lock = threading.Lock()
+        self.in_flight = 0
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
+        self._count(1)
+        try:
+            return self._respond(environ, start)
+        finally:
+            self._count(-1)
+
+    def _count(self, change: int) -> None:
+        with self._count_lock:
+            self.in_flight += change
+
+    def _respond(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         try:
             answer = self._answer(environ)
         except Exception:
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -119,7 +119,8 @@
         url = f"/-/log-append?topic={topic}&part={partition}"
         if writer is not None:
             url += f"&producer={quote(writer.producer)}&epoch={writer.epoch}"
-            url += f"&sequence={writer.sequence}"
+            if records:
+                url += f"&sequence={writer.sequence}"
         body = b"".join(_LENGTH.pack(len(record)) + record for record in records)
         return self._caller.call("POST", url, body, timeout).bind(_read_appended)
 
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -54,11 +54,12 @@
 AVOID_AFTER_REFUSAL = timedelta(milliseconds=500)
 # A former leader may have used run numbers that are on no log.
 RUN_GAP = 16
-# A host that left the cell's sight is forgotten after this; until then a new leader
-# waits for it.
-FORGET_HOST_AFTER = timedelta(seconds=20)
+# A silent host is forgotten after this; by then its last lease is long over.
+FORGET_HOST_AFTER = timedelta(seconds=10)
 # A job with nothing running gets a task even where it has to be paced.
 LONGEST_IDLE = timedelta(seconds=1)
+# Work that a loss of power of everything may cost, beside what no checkpoint holds.
+CHECKPOINT_INTERVAL = timedelta(seconds=2)
 # Leases that are about to end cannot carry a new task.
 LEAST_AUTHORITY = timedelta(seconds=1)
 
@@ -98,6 +99,8 @@
         self._changed_jobs: set[str] = set()
         self._changed_hosts: dict[str, bool] = {}
         self._expired: list[str] = []
+        self._checkpointed_jobs: set[str] = set()
+        self._checkpoints_noted_at = timedelta()
         # Jobs before this offset may have been started by a former leader.
         self._fence_offset = 0
         self._gate_opens_at = timedelta()
@@ -227,7 +230,10 @@
             host = HostState(report.host, report.address)
             host.reported_at = now
             self.hosts[report.host] = host
-        if host.address != report.address or not host.registered:
+        if report.leaving and not host.tasks:
+            if host.registered:
+                self._unregister(host, "its runner left")
+        elif host.address != report.address or not host.registered:
             host.address = report.address
             host.registered = False
             self._changed_hosts[host.name] = True
@@ -350,8 +356,9 @@
         if placement.phase is RunPhase.ORDERED:
             placement.phase = RunPhase.RUNNING
             self._note_started(job)
-        if running.checkpoint:
+        if running.checkpoint and running.checkpoint != task.checkpoint:
             task.checkpoint = running.checkpoint
+            self._checkpointed_jobs.add(job.job_id)
 
     def _refuse_run(self, host: HostState, running: RunningTask) -> None:
         foreign = ForeignRun(running.task, running.run)
@@ -511,13 +518,29 @@
                     "host lost", extra={"host": host.name, "tasks": len(host.tasks)}
                 )
                 self._lose_tasks(host, "host lost", keep=frozenset())
+            if now - host.reported_at > self._settings.lease:
                 host.attached = False
+                if host.registered:
+                    self._unregister(host, "it is silent and its lease is over")
             if now - host.reported_at > FORGET_HOST_AFTER:
                 del self.hosts[host.name]
-                self._changed_hosts[host.name] = False
-                logger.warning("host forgotten", extra={"host": host.name})
+        self._note_checkpoints(now)
         self._expire()
 
+    def _unregister(self, host: HostState, reason: str) -> None:
+        """Drop a host that can run nothing, so that no new leader waits for it."""
+        host.registered = False
+        self._changed_hosts[host.name] = False
+        logger.warning("host unregistered", extra={"host": host.name, "reason": reason})
+
+    def _note_checkpoints(self, now: timedelta) -> None:
+        """Record new checkpoints now and then, for when all machines lose power."""
+        if now - self._checkpoints_noted_at < CHECKPOINT_INTERVAL:
+            return
+        self._checkpoints_noted_at = now
+        self._changed_jobs |= self._checkpointed_jobs
+        self._checkpointed_jobs.clear()
+
     def _expire(self) -> None:
         before = self._clock.now() - self._settings.keep_ended
         for job_id in self._table.list_expired(before):
