Move slow runs of what fills to hosts with room

Change: a run that used less than a fifth of its processors for 1.5 s is stopped, with its checkpoint, when another host has room for it; at most two each 0.3 s.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -60,6 +60,14 @@
 LONGEST_IDLE = timedelta(seconds=1)
 # Work that a loss of power of everything may cost, beside what no checkpoint holds.
 CHECKPOINT_INTERVAL = timedelta(seconds=2)
+# A task that fills is slow while it uses less than this share of its processors, and
+# is moved after the limit, a few at once so that room is not promised twice.
+SLOW_SHARE = 0.2
+SLOW_LIMIT = timedelta(milliseconds=1500)
+MOVES_AT_ONCE = 2
+MOVE_INTERVAL = timedelta(milliseconds=300)
+# Progress in percent up to which work without checkpoints may be thrown away.
+MOVABLE_PROGRESS = 15
 # Leases that are about to end cannot carry a new task.
 LEAST_AUTHORITY = timedelta(seconds=1)
 
@@ -101,6 +109,7 @@
         self._expired: list[str] = []
         self._checkpointed_jobs: set[str] = set()
         self._checkpoints_noted_at = timedelta()
+        self._moved_at = timedelta()
         # Jobs before this offset may have been started by a former leader.
         self._fence_offset = 0
         self._gate_opens_at = timedelta()
@@ -356,10 +365,19 @@
         if placement.phase is RunPhase.ORDERED:
             placement.phase = RunPhase.RUNNING
             self._note_started(job)
+        self._note_speed(placement, running)
         if running.checkpoint and running.checkpoint != task.checkpoint:
             task.checkpoint = running.checkpoint
             self._checkpointed_jobs.add(job.job_id)
 
+    def _note_speed(self, placement: Placement, running: RunningTask) -> None:
+        step = placement.step.step
+        movable = step.checkpointing or running.progress < MOVABLE_PROGRESS
+        if not step.fills or not movable or running.figure > SLOW_SHARE * step.cpu:
+            placement.slow_since = None
+        elif placement.slow_since is None:
+            placement.slow_since = self._clock.boottime()
+
     def _refuse_run(self, host: HostState, running: RunningTask) -> None:
         foreign = ForeignRun(running.task, running.run)
         if foreign in host.foreign:
@@ -558,6 +576,9 @@
         usable = [host for host in self.hosts.values() if host.is_usable(now)]
         if not usable:
             return
+        if now - self._moved_at >= MOVE_INTERVAL:
+            self._moved_at = now
+            self._move_slow(usable)
         for step in self._order_steps():
             service = self._find_queue(step.job).service
             for index in sorted(step.waiting):
@@ -566,6 +587,37 @@
                     break
                 self._start(step, index, choice.host)
 
+    def _move_slow(self, usable: list[HostState]) -> None:
+        """Stop tasks that hardly work, for which there is room elsewhere.
+
+        Answers pairs that turn out to press on each other, and serving tasks that come
+        to a host later: what stands there would hold up its whole job.
+        """
+        now = self._clock.boottime()
+        moved = 0
+        for placement in self._placements.values():
+            since = placement.slow_since
+            if since is None or now - since < SLOW_LIMIT or moved == MOVES_AT_ONCE:
+                continue
+            if placement.phase is not RunPhase.RUNNING:
+                continue
+            service = self._find_queue(placement.step.job).service
+            others = [host for host in usable if host.name != placement.host]
+            choice = choose_host(placement.step, service, others, self._pressures)
+            if choice is not None and choice.harm <= 0:
+                moved += 1
+                logger.info(
+                    "slow run is moved",
+                    extra={
+                        "job": placement.task.job_id,
+                        "task": placement.task.format(),
+                        "host": placement.host,
+                        "slow_seconds": (now - since).total_seconds(),
+                        "room_at": choice.host.name,
+                    },
+                )
+                self._stop(placement)
+
     def _must_run(self, job: Job) -> bool:
         """Tell whether a job has had nothing running for as long as it may."""
         if job.idle_since is None and not job.active_runs:
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -32,7 +32,16 @@
 class Placement:
     """A run of a task on a host, from its order until its end is known."""
 
-    __slots__ = ("host", "number", "phase", "run", "since", "step", "task")
+    __slots__ = (
+        "host",
+        "number",
+        "phase",
+        "run",
+        "since",
+        "slow_since",
+        "step",
+        "task",
+    )
 
     def __init__(
         self,
@@ -50,6 +59,8 @@
         self.phase = phase
         self.since = since
         self.number = 0
+        # Since when a task that fills has hardly worked.
+        self.slow_since: timedelta | None = None
 
 
 class Task:
