--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -22,6 +22,7 @@
 from egretcrank.platform.runner import Look, Runner, Started
 from egretcrank.platform.store import Store
 from egretcrank.settings.platform import AgentSettings
+from egretcrank.transport.loops import start_loop
 from egretcrank.wire.hosting import (
     HostOrders,
     LeaderMoved,
@@ -92,7 +93,7 @@
             self._run_looks,
             self._run_reports,
         ):
-            threading.Thread(target=target, daemon=True).start()
+            start_loop(target.__qualname__, target)
         logger.info("started")
         while not self._stopping.wait(1.0):
             pass
--- a/src/egretcrank/cli/daemons.py
+++ b/src/egretcrank/cli/daemons.py
@@ -49,7 +49,7 @@
 def controller(path: Path) -> None:
     """Accept jobs, and lead the cell while elected."""
     settings = _unwrap(load_controller(path))
-    configure_logging(settings.host.name, settings.host.log_level)
+    configure_logging(settings.host.name, settings.host.log_level, sys.stdout)
     run_controller(settings)
 
 
@@ -58,7 +58,7 @@
 def agent(path: Path) -> None:
     """Run beside a runner and carry out the leader's orders."""
     settings = _unwrap(load_agent(path))
-    configure_logging(settings.host.name, settings.host.log_level)
+    configure_logging(settings.host.name, settings.host.log_level, sys.stdout)
     run_agent(settings)
 
 
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -6,7 +6,7 @@
 import threading
 import time
 from datetime import timedelta
-from typing import Any
+from functools import partial
 from uuid import uuid4
 
 from returns.result import Failure, Success
@@ -47,6 +47,7 @@
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.settings.platform import ControllerSettings
 from egretcrank.settings.schema import EntrySettings
+from egretcrank.transport.loops import start_loop
 from egretcrank.wire.hosting import HostReport, LeaderMoved
 
 # Due times, silent hosts and leases are looked at this often.
@@ -115,15 +116,12 @@
             self._run_decisions,
             self._http.serve,
         ):
-            self._start_thread(target)
+            start_loop(target.__qualname__, target)
         logger.info("started", extra={"member": self._member})
         while not self._stopping.wait(1.0):
             pass
         self._shut_down()
 
-    def _start_thread(self, target: Any, *arguments: Any) -> None:
-        threading.Thread(target=target, args=arguments, daemon=True).start()
-
     def _shut_down(self) -> None:
         """Hand the leadership over, and go on answering while callers may send."""
         ends_at = self._clock.boottime() + self._settings.bounds.grace_seconds
@@ -262,8 +260,8 @@
                 "hosts": len(cell.hosts),
             },
         )
-        self._start_thread(self._committer.run)
-        self._start_thread(self._announce, cell)
+        start_loop("committer", self._committer.run)
+        start_loop("announcements", partial(self._announce, cell))
 
     def _resign(self, reason: str) -> None:
         with self._lock:
--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -13,7 +13,11 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.store import Store, encode_keyed
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
-from egretcrank.scheduling.definitions import JobDefinition, find_defect
+from egretcrank.scheduling.definitions import (
+    JobDefinition,
+    find_defect,
+    find_unsupported,
+)
 from egretcrank.scheduling.records import (
     Phase,
     RecordKey,
@@ -75,6 +79,12 @@
         defect = find_defect(definition)
         if defect:
             return Failure(Problem(ErrorKind.BAD_REQUEST, defect, "steps"))
+        unsupported = find_unsupported(definition)
+        if unsupported:
+            logger.info(
+                "job refused", extra={"job": definition.job_id, "why": unsupported}
+            )
+            return Failure(Problem(ErrorKind.NO_CAPACITY, unsupported, "steps"))
         entry = self._table.find(definition.job_id)
         if entry is not None:
             logger.info("job known", extra={"job": definition.job_id})
--- a/src/egretcrank/observability/logs.py
+++ b/src/egretcrank/observability/logs.py
@@ -2,13 +2,14 @@
 
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 
-def configure_logging(process: str, level: str) -> None:
-    """Write every log record as one JSON line to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+def configure_logging(process: str, level: str, stream: TextIO | None = None) -> None:
+    """Write every log record as one JSON line, to standard error by default."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
--- a/src/egretcrank/scheduling/definitions.py
+++ b/src/egretcrank/scheduling/definitions.py
@@ -84,6 +84,15 @@
     return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+def find_unsupported(definition: JobDefinition) -> str:
+    """Tell what this release cannot schedule yet; empty if it can."""
+    if definition.queue.advised:
+        return "the queue's hosts are chosen by the advice service"
+    if any(step.gang for step in definition.steps):
+        return "gangs are not scheduled by this release"
+    return ""
+
+
 def find_defect(definition: JobDefinition) -> str:
     """Tell what makes a job impossible to run on any hosts; empty if nothing does."""
     steps = definition.steps
