Start tasks of gone runners elsewhere; grant authority from the last report

Change: an agent counts runs as over when the runner left, or was silent until its last lease ended on its slow clock; a silent runner gets no longer lease and no new tasks; authority is reckoned from the receipt of the last report. Lasting tasks leave a draining host. Paces rise by the listed tail, and own loads are followed faster.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -144,7 +144,7 @@
 
     def _look(self, wait: timedelta) -> bool:
         with self._lock:
-            deadline = self._state.find_deadline()
+            deadline = self._state.find_deadline(self._clock.boottime())
             token = self._token
             seen = self._state.durable_ends
         match self._runner.look(deadline, token, seen, wait):
@@ -157,8 +157,16 @@
                     self._raise_token(token)
                 else:
                     self._note_runner(problem.detail)
+                    self._check_silence()
         return False
 
+    def _check_silence(self) -> None:
+        with self._lock:
+            over = self._state.check_silence(self._clock.boottime())
+        if over:
+            logger.warning("runs of the silent runner are over")
+            self._report_due.set()
+
     def _note_runner(self, problem: str) -> None:
         if bool(problem) == self._runner_lost:
             return
@@ -251,7 +259,7 @@
         run = Run(order.task, order.run)
         while True:
             with self._lock:
-                deadline = self._state.find_deadline()
+                deadline = self._state.find_deadline(self._clock.boottime())
                 draining = self._state.runner is None or self._state.runner.draining
                 over = not self._state.may_start(session)
                 token = self._token
@@ -306,10 +314,14 @@
                     self._settle_by(run, look, born)
                     return
                 case Failure(problem):
-                    if problem.kind is ErrorKind.STALE_EPOCH:
-                        with self._lock:
+                    with self._lock:
+                        if problem.kind is ErrorKind.STALE_EPOCH:
                             token = max(self._token, token + 1)
                             self._token = token
+                        over = self._state.is_over(self._clock.boottime())
+                    if over:
+                        self._refuse(run, "runner is silent")
+                        return
             time.sleep(LOOK_PAUSE_AFTER_FAILURE.total_seconds())
 
     def _settle_by(self, run: Run, look: Look, born: int) -> None:
--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -108,7 +108,7 @@
         before = self._percents
         self._percents = {}
         changes = []
-        high = any(s.ratio > HIGH_RATIO for s in serving)
+        high = any(s.tail > HIGH_RATIO for s in serving)
         for task in sorted(filling, key=lambda f: self._find_worst(f, room)):
             key = (task.running.task, task.running.run)
             old = before.get(key, FULL_PACE)
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -26,6 +26,10 @@
 # looks from which a change can be told.
 FIGURE_SPAN = timedelta(milliseconds=450)
 LEAST_SPAN = timedelta(milliseconds=120)
+# A runner answers a look within half a second, or at once; two missed ones are silence.
+SILENT_AFTER = timedelta(seconds=1)
+# Time from the end of a lease until the runner has killed what it held.
+OVER_MARGIN = timedelta(milliseconds=500)
 
 
 class Identity(NamedTuple):
@@ -57,6 +61,7 @@
         self._full_due = True
         self._full_at = timedelta()
         self._clock_base: tuple[int, timedelta] | None = None
+        self._latest_deadline = 0
         # Starts under way, with the numbers of their orders.
         self._starting: dict[Run, int] = {}
         self._started: dict[Run, int] = {}
@@ -131,24 +136,53 @@
         self.durable_ends = 0
         self._seen_ends = 0
         self._clock_base = None
+        self._latest_deadline = 0
         self._started.clear()
         self._stopping.clear()
         self._running.clear()
         self._ended.clear()
         self._require_full()
 
-    def find_deadline(self) -> int | None:
+    def find_deadline(self, now: timedelta) -> int | None:
         """Return the lease's end on the runner's clock, if there is authority.
 
-        The runner's clock may run slow, so that the same reading comes later there.
+        The runner's clock may run slow, so that the same reading comes later there. A
+        silent runner gets no longer lease, so that its end comes in sight.
         """
-        if self._clock_base is None:
+        if self._clock_base is None or self.is_silent(now):
             return None
         clock, read_at = self._clock_base
         left = (self.authority_until - read_at) * CLOCK_RATE_FLOOR
         if left <= timedelta():
             return None
-        return clock + int(left / timedelta(milliseconds=1))
+        deadline = clock + int(left / timedelta(milliseconds=1))
+        self._latest_deadline = max(self._latest_deadline, deadline)
+        return deadline
+
+    def is_silent(self, now: timedelta) -> bool:
+        """Tell whether the runner has not answered for a while."""
+        return self._clock_base is None or now - self._clock_base[1] > SILENT_AFTER
+
+    def is_over(self, now: timedelta) -> bool:
+        """Tell whether all that a runner without answer held has certainly ended."""
+        if self._clock_base is None:
+            return True
+        if self.left:
+            return True
+        clock, read_at = self._clock_base
+        passed = (now - read_at - OVER_MARGIN) * CLOCK_RATE_FLOOR
+        reading = clock + passed / timedelta(milliseconds=1)
+        return self.is_silent(now) and reading > self._latest_deadline
+
+    def check_silence(self, now: timedelta) -> bool:
+        """Forget the runs of a silent runner once they are over; tell whether any."""
+        if not (self._running or self._started) or not self.is_over(now):
+            return False
+        self._running.clear()
+        self._started.clear()
+        self._stopping.clear()
+        self._require_full()
+        return True
 
     @property
     def running(self) -> list[RunningTask]:
@@ -258,6 +292,7 @@
             rooms=pace.rooms if full else (),
             unprofiled=sum(r.task not in self.profiles for r in self._running),
             leaving=self.left,
+            silent=self.is_silent(now),
         )
 
     def _knows_life(self) -> bool:
--- a/src/egretcrank/policy/sharing.py
+++ b/src/egretcrank/policy/sharing.py
@@ -31,7 +31,7 @@
 LONGEST_SPAN = timedelta(milliseconds=2500)
 CHANGE_DEVIATION = 0.2
 # Weight of a new sample of a serving task's own load.
-LOAD_WEIGHT = 0.3
+LOAD_WEIGHT = 0.5
 # What one host may claim to know at most, as its samples are not independent.
 LEAST_DEVIATION = 0.01
 # Share of the prior's deviation below which a pair counts as known in part.
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -61,7 +61,7 @@
 # Work that a loss of power of everything may cost, beside what no checkpoint holds.
 CHECKPOINT_INTERVAL = timedelta(seconds=2)
 # A task that fills is slow while it uses less than this share of its processors, and
-# is moved after the limit, a few at once so that room is not promised twice.
+# is moved after the limit. Moves are few at once so that room is not promised twice.
 SLOW_SHARE = 0.2
 SLOW_LIMIT = timedelta(milliseconds=1500)
 MOVES_AT_ONCE = 2
@@ -252,6 +252,7 @@
             return
         host.reply_due = True
         host.sent_at = report.sent_at
+        host.reported_at = now
         if not known:
             # The agent answers the orders that tell it the epoch with a full report.
             host.incarnation = report.incarnation
@@ -264,8 +265,8 @@
         if not same or not host.attached:
             self._begin_session(host, report.incarnation)
         host.sequence = report.sequence
-        host.reported_at = now
         host.leaving = report.leaving
+        host.silent = report.silent
         host.profiles_due = report.unprofiled > 0
         host.confirm_orders(report.applied)
         self._take_runner(host, report)
@@ -589,6 +590,7 @@
         if now - self._moved_at >= MOVE_INTERVAL:
             self._moved_at = now
             self._move_slow(usable)
+            self._leave_draining(usable)
         for step in self._order_steps():
             service = self._find_queue(step.job).service
             for index in sorted(step.waiting):
@@ -628,6 +630,38 @@
                 )
                 self._stop(placement)
 
+    def _leave_draining(self, usable: list[HostState]) -> None:
+        """Stop lasting tasks on hosts that end soon, for which there is room elsewhere.
+
+        Answers runners that are emptied: what lasts would be away from their end until
+        it is noticed.
+        """
+        moved = 0
+        for placement in self._placements.values():
+            runner = self.hosts[placement.host].runner
+            if (
+                moved == MOVES_AT_ONCE
+                or runner is None
+                or not runner.draining
+                or not placement.step.step.lasting
+                or placement.phase is not RunPhase.RUNNING
+            ):
+                continue
+            service = self._find_queue(placement.step.job).service
+            choice = choose_host(placement.step, service, usable, self._pressures)
+            if choice is not None:
+                moved += 1
+                logger.info(
+                    "run leaves a draining host",
+                    extra={
+                        "job": placement.task.job_id,
+                        "task": placement.task.format(),
+                        "host": placement.host,
+                        "room_at": choice.host.name,
+                    },
+                )
+                self._stop(placement)
+
     def _must_run(self, job: Job) -> bool:
         """Tell whether a job has had nothing running for as long as it may."""
         if job.idle_since is None and not job.active_runs:
@@ -716,7 +750,9 @@
                 sent = tuple(host.pending)
                 host.pending_sent_at = now
             if host.attached and authority > timedelta():
-                host.granted_until = max(host.granted_until, self._authority_until)
+                # The agent counts from the sending of its last report.
+                granted = host.reported_at + authority
+                host.granted_until = max(host.granted_until, granted)
             yield (
                 host,
                 HostOrders(
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -36,6 +36,7 @@
         self.attached = False
         self.registered = False
         self.leaving = False
+        self.silent = False
         self.reported_at = timedelta()
         self.sent_at = 0.0
         self.reply_due = False
@@ -108,6 +109,7 @@
             self.attached
             and self.registered
             and not self.leaving
+            and not self.silent
             and not self.foreign
             and self.runner is not None
             and not self.runner.draining
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -134,7 +134,7 @@
     ``sent_at`` is a reading of the agent's own clock, which the controller returns.
     ``pressures`` are what this host learned by itself, ``rooms`` what its serving tasks
     have left; both come with ``full``. ``unprofiled`` counts the tasks whose profile
-    the agent lacks since its restart.
+    the agent lacks since its restart. ``silent`` tells that the runner does not answer.
     """
 
     host: str = ""
@@ -155,6 +155,7 @@
     rooms: tuple[ServingRoom, ...] = ()
     unprofiled: int = 0
     leaving: bool = False
+    silent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -91,6 +91,8 @@
     def __init__(self, world: "World", name: str, capacity: int) -> None:
         self.world, self.name, self.capacity = world, name, capacity
         self.born = 0
+        self.draining = False
+        self.silent = False
         self.restart()
 
     def restart(self) -> None:
@@ -115,7 +117,7 @@
             self.capacity,
             64000,
             0,
-            False,
+            self.draining,
             0.0,
         )
 
@@ -218,7 +220,12 @@
 
     def look(self) -> None:
         state = self.state
-        look = self.runner.look(state.find_deadline(), self.token, state.durable_ends)
+        if self.runner.silent:
+            state.check_silence(self.world.now())
+            return
+        look = self.runner.look(
+            state.find_deadline(self.world.now()), self.token, state.durable_ends
+        )
         if look is None:
             self.token += 5000
             return
@@ -238,8 +245,8 @@
 
     def start(self, order: StartOrder) -> None:
         run = Run(order.task, order.run)
-        deadline = self.state.find_deadline()
-        if deadline is None:
+        deadline = self.state.find_deadline(self.world.now())
+        if deadline is None or self.runner.silent:
             self.state.mark_refused(run, "no authority")
             return
         if self.world.random.random() < self.world.late_share:
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 
 from egretcrank.scheduling.records import Phase
+from egretcrank.wire.hosting import StopOrder
 from tests.cases import AsyncTestCase
 from tests.cell_world import World, build_step
 
@@ -187,6 +188,57 @@
         world.run(4.5)
         self.assertEqual(world.find_phase(job), Phase.COMPLETED)
 
+    def test_lasting_tasks_leave_a_draining_host(self):
+        """Guards against tasks that are away from the end of their runner on."""
+        world = World(17)
+        world.submit(build_step(lasting=True, width=3))
+        world.run(2)
+        for runner in world.runners[1:]:
+            self.assertEqual(len(runner.running), 1)
+        world.runners[0].draining = True
+        world.run(2)
+        self.assertEqual([len(r.running) for r in world.runners], [0, 2, 1])
+        self.assertEqual(world.problems, [])
+
+    def test_tasks_of_a_runner_that_is_silent_for_good_start_elsewhere(self):
+        """Guards against tasks that count as running on a runner that is gone."""
+        world = World(18)
+        world.submit(build_step(lasting=True, width=3))
+        world.run(2)
+        world.runners[0].silent = True
+        world.run(8.5)
+        self.assertEqual([len(r.running) for r in world.runners], [0, 2, 1])
+        self.assertEqual(world.problems, [])
+
+    def test_tasks_of_a_runner_that_left_start_elsewhere_at_once(self):
+        """Guards against waiting for a lease of a runner that said that it ends."""
+        world = World(19)
+        world.submit(build_step(lasting=True, width=3))
+        world.run(2)
+        runner = world.runners[0]
+        runner.running.clear()
+        runner.silent = True
+        world.agents["h0"].state.left = True
+        world.run(2)
+        self.assertEqual([len(r.running) for r in world.runners], [0, 2, 1])
+        self.assertEqual(world.problems, [])
+
+    def test_orders_to_a_dead_host_do_not_keep_it_alive(self):
+        """Guards against authority that grows with each repeated order."""
+        world = World(20)
+        job = world.submit(build_step(lasting=True, width=3))
+        world.run(2)
+        del world.agents["h0"]
+        world.step()
+        held = [task for task, _, host in world.starts if host == "h0"]
+        cell = world.leader.cell
+        assert cell is not None
+        cell.hosts["h0"].add_order(StopOrder(f"{job}.0.0.9", 1))
+        world.run(7.5)
+        again = [host for task, _, host in world.starts[3:] if task in held]
+        self.assertEqual(len(again), len(held))
+        self.assertEqual(world.problems, [])
+
     def test_a_repetition_starts_when_it_is_due(self):
         """Guards against an occurrence before its time."""
         world = World(16)
