Split the cell by concern: changes, runs, moves, ordering

Behaviour stays but for one rule: moves from draining hosts and of slow runs share one limit. Suite of the cell, the adapter and sharing: 48 passed.

--- a/src/egretcrank/controller/committer.py
+++ b/src/egretcrank/controller/committer.py
@@ -10,7 +10,8 @@
 from egretcrank.controller.election import Appender
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.platform.store import encode_keyed
-from egretcrank.scheduling.cell import Cell, Changes
+from egretcrank.scheduling.cell import Cell
+from egretcrank.scheduling.changes import Changes
 
 # Each lease may last until its limit after the last proof, so a proof costs half a
 # second of lease at most.
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -7,32 +7,29 @@
 
 import logging
 from collections.abc import Iterable
-from datetime import datetime, timedelta
-from typing import NamedTuple
+from datetime import timedelta
 
 from egretcrank.clock import Clock
 from egretcrank.policy.sharing import PressureTable
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
-from egretcrank.scheduling.definitions import Step, TaskKey, parse_task_key
+from egretcrank.scheduling.changes import ChangeCollector, Changes
+from egretcrank.scheduling.definitions import Step, parse_task_key
 from egretcrank.scheduling.hosts import (
     RESEND_AFTER,
     ForeignRun,
     HostState,
 )
+from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves, note_speed
+from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.placement import choose_host
 from egretcrank.scheduling.records import (
-    HostRecord,
     Phase,
-    RecordKey,
-    RecordKind,
-    encode_record,
 )
+from egretcrank.scheduling.runs import Runs
 from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.table import JobEntry, JobTable
 from egretcrank.scheduling.tasks import (
-    LATE_FACTOR,
     Job,
-    Placement,
     RunPhase,
     StepState,
     Task,
@@ -58,37 +55,12 @@
 FORGET_HOST_AFTER = timedelta(seconds=10)
 # A job with nothing running gets a task even where it has to be paced.
 LONGEST_IDLE = timedelta(seconds=1)
-# Work that a loss of power of everything may cost, beside what no checkpoint holds.
-CHECKPOINT_INTERVAL = timedelta(seconds=2)
-# A task that fills is slow while it uses less than this share of its processors, and
-# is moved after the limit. Moves are few at once so that room is not promised twice.
-SLOW_SHARE = 0.2
-SLOW_LIMIT = timedelta(milliseconds=1500)
-MOVES_AT_ONCE = 2
-MOVE_INTERVAL = timedelta(milliseconds=300)
-# Progress in percent up to which work without checkpoints may be thrown away.
-MOVABLE_PROGRESS = 15
 # Leases that are about to end cannot carry a new task.
 LEAST_AUTHORITY = timedelta(seconds=1)
 
 logger = logging.getLogger(__name__)
 
 
-class LogChange(NamedTuple):
-    """A record to append; an empty value drops the key."""
-
-    key: RecordKey
-    value: bytes
-
-
-class Changes(NamedTuple):
-    """What is to be made durable together, and what holds once it is."""
-
-    records: tuple[LogChange, ...]
-    ends: dict[str, tuple[int, int]]
-    hosts: tuple[str, ...]
-
-
 class Cell:
     """State of the cell under one epoch of leadership."""
 
@@ -102,13 +74,9 @@
         self.catalog: Catalog = EMPTY_CATALOG
         self.jobs: dict[str, Job] = {}
         self.hosts: dict[str, HostState] = {}
-        self._placements: dict[TaskKey, Placement] = {}
+        self._runs = Runs(self.hosts, clock)
         self._pressures = PressureTable()
-        self._changed_jobs: set[str] = set()
-        self._changed_hosts: dict[str, bool] = {}
-        self._expired: list[str] = []
-        self._checkpointed_jobs: set[str] = set()
-        self._checkpoints_noted_at = timedelta()
+        self._changes = ChangeCollector()
         self._moved_at = timedelta()
         # Jobs before this offset may have been started by a former leader.
         self._fence_offset = 0
@@ -216,7 +184,7 @@
     def _end_job(self, job: Job, phase: Phase, reason: str) -> None:
         job.phase = phase
         job.ended_at = self._clock.now()
-        self._changed_jobs.add(job.job_id)
+        self._changes.note_job(job.job_id)
         logger.info(
             "job ended",
             extra={"job": job.job_id, "phase": phase.value, "reason": reason},
@@ -225,9 +193,9 @@
             for step in steps:
                 step.waiting.clear()
                 for index in range(len(step.tasks)):
-                    placement = self._placements.get(step.key_of(index))
+                    placement = self._runs.find(step.key_of(index))
                     if placement is not None:
-                        self._stop(placement)
+                        self._runs.stop(placement)
 
     # Reports
 
@@ -245,7 +213,7 @@
         elif host.address != report.address or not host.registered:
             host.address = report.address
             host.registered = False
-            self._changed_hosts[host.name] = True
+            self._changes.note_host(host.name, present=True)
         known = (report.epoch, report.session) == (self.epoch, host.session)
         same = known and report.incarnation == host.incarnation
         if same and report.sequence <= host.sequence:
@@ -292,7 +260,7 @@
     def _begin_session(self, host: HostState, incarnation: str) -> None:
         host.begin_session(incarnation)
         for key in host.tasks:
-            self._placements[key].number = 0
+            self._runs[key].number = 0
 
     def _take_runner(self, host: HostState, report: HostReport) -> None:
         runner = report.runner
@@ -306,7 +274,7 @@
             host.ends_seen = 0
             host.ends_durable = 0
             host.foreign.clear()
-            self._lose_tasks(host, "runner restarted", report)
+            self._runs.lose(host, "runner restarted", report)
         if host.runner is None or host.runner.draining != runner.draining:
             logger.info(
                 "runner state",
@@ -333,11 +301,11 @@
         host.pressures_due = True
         self._pressures.take(host.name, report.pressures)
         for key in list(host.tasks):
-            placement = self._placements[key]
+            placement = self._runs[key]
             if placement.number > report.applied:
                 continue
             if (key.format(), placement.run) not in reported:
-                self._release(placement, "run is gone")
+                self._runs.release(placement, "run is gone")
             elif placement.phase is RunPhase.STOPPING and not placement.number:
                 placement.number = host.add_order(
                     StopOrder(key.format(), placement.run)
@@ -351,34 +319,26 @@
             self._refuse_run(host, running)
             return
         task = step.tasks[key.position]
-        placement = self._placements.get(key)
+        placement = self._runs.find(key)
         if placement is None:
             if task.done or running.run <= task.ended_run:
                 self._refuse_run(host, running)
                 return
-            placement = self._place(step, key.position, host, running.run)
+            placement = self._runs.place(step, key.position, host, running.run)
             placement.phase = RunPhase.RUNNING
             self._note_started(job)
             if job.phase.final:
-                self._stop(placement)
+                self._runs.stop(placement)
         elif placement.host != host.name or placement.run != running.run:
             self._refuse_run(host, running)
             return
         if placement.phase is RunPhase.ORDERED:
             placement.phase = RunPhase.RUNNING
             self._note_started(job)
-        self._note_speed(placement, running)
+        note_speed(placement, running, self._clock.boottime())
         if running.checkpoint and running.checkpoint != task.checkpoint:
             task.checkpoint = running.checkpoint
-            self._checkpointed_jobs.add(job.job_id)
-
-    def _note_speed(self, placement: Placement, running: RunningTask) -> None:
-        step = placement.step.step
-        movable = step.checkpointing or running.progress < MOVABLE_PROGRESS
-        if not step.fills or not movable or running.figure > SLOW_SHARE * step.cpu:
-            placement.slow_since = None
-        elif placement.slow_since is None:
-            placement.slow_since = self._clock.boottime()
+            self._changes.note_checkpoint(job.job_id)
 
     def _refuse_run(self, host: HostState, running: RunningTask) -> None:
         foreign = ForeignRun(running.task, running.run)
@@ -394,11 +354,11 @@
     def _note_started(self, job: Job) -> None:
         if job.phase is Phase.QUEUED:
             job.phase = Phase.RUNNING
-            self._changed_jobs.add(job.job_id)
+            self._changes.note_job(job.job_id)
 
     def _take_refusal(self, host: HostState, refused: RefusedStart) -> None:
         key = parse_task_key(refused.task)
-        placement = self._placements.get(key) if key else None
+        placement = self._runs.find(key)
         if (
             placement is None
             or placement.host != host.name
@@ -407,7 +367,7 @@
         ):
             return
         host.avoid_until = self._clock.boottime() + AVOID_AFTER_REFUSAL
-        self._release(placement, f"start refused: {refused.reason}")
+        self._runs.release(placement, f"start refused: {refused.reason}")
 
     def _take_end(self, host: HostState, ended: EndedTask) -> None:
         if ended.number <= host.ends_seen:
@@ -419,7 +379,7 @@
         step = job.find_step(key) if job and key else None
         if key is None or job is None or step is None:
             return
-        placement = self._placements.get(key)
+        placement = self._runs.find(key)
         here = (
             placement is not None
             and placement.host == host.name
@@ -428,9 +388,9 @@
         task = step.tasks[key.position]
         self._note_end(job, step, key.position, ended)
         if here and placement is not None:
-            self._release(placement, ended.how)
+            self._runs.release(placement, ended.how)
         elif placement is not None and task.done:
-            self._stop(placement)
+            self._runs.stop(placement)
         self._note_started(job)
         self._check_end(job, step, task)
 
@@ -449,7 +409,7 @@
             task.run = max(task.run, ended.run)
             if ended.how == "failed":
                 task.failures += 1
-        self._changed_jobs.add(job.job_id)
+        self._changes.note_job(job.job_id)
 
     def _check_end(self, job: Job, step: StepState, task: Task) -> None:
         if job.phase.final:
@@ -463,71 +423,6 @@
         elif step.complete and job.is_complete():
             self._end_job(job, Phase.COMPLETED, "all tasks are done")
 
-    # Placements
-
-    def _place(
-        self, step: StepState, index: int, host: HostState, run: int
-    ) -> Placement:
-        key = step.key_of(index)
-        placement = Placement(
-            key, step, host.name, run, RunPhase.ORDERED, self._clock.boottime()
-        )
-        self._placements[key] = placement
-        step.waiting.discard(index)
-        step.tasks[index].run = max(step.tasks[index].run, run)
-        step.spread[host.name] = step.spread.get(host.name, 0) + 1
-        step.job.active_runs += 1
-        step.job.idle_since = None
-        host.tasks.add(key)
-        host.reserve(step.step)
-        return placement
-
-    def _release(self, placement: Placement, reason: str) -> None:
-        """Forget a run that has certainly ended, and let its task wait again."""
-        key = placement.task
-        step = placement.step
-        del self._placements[key]
-        step.spread[placement.host] -= 1
-        step.job.active_runs -= 1
-        if not step.job.active_runs:
-            step.job.idle_since = self._clock.boottime()
-        host = self.hosts[placement.host]
-        host.tasks.discard(key)
-        host.reserve(step.step, -1)
-        if not step.tasks[key.position].done and not step.job.phase.final:
-            step.waiting.add(key.position)
-        logger.info(
-            "run ended",
-            extra={
-                "job": key.job_id,
-                "task": key.format(),
-                "run": placement.run,
-                "host": placement.host,
-                "reason": reason,
-            },
-        )
-
-    def _stop(self, placement: Placement) -> None:
-        if placement.phase is RunPhase.STOPPING:
-            return
-        placement.phase = RunPhase.STOPPING
-        host = self.hosts[placement.host]
-        host.add_order(StopOrder(placement.task.format(), placement.run))
-
-    def _lose_tasks(
-        self, host: HostState, reason: str, report: HostReport | None
-    ) -> None:
-        """Give up the runs of a host, but for those that its report still names.
-
-        Orders that the agent has not taken yet may still be carried out.
-        """
-        keep = _list_runs(report) if report else frozenset()
-        for key in list(host.tasks):
-            placement = self._placements[key]
-            untaken = report is not None and placement.number > report.applied
-            if not untaken and (key.format(), placement.run) not in keep:
-                self._release(placement, reason)
-
     # Time
 
     def pass_time(self) -> None:
@@ -544,7 +439,7 @@
                 logger.warning(
                     "host lost", extra={"host": host.name, "tasks": len(host.tasks)}
                 )
-                self._lose_tasks(host, "host lost", None)
+                self._runs.lose(host, "host lost", None)
                 host.session += 1
                 host.begin_session("")
             if now - host.reported_at > self._settings.lease:
@@ -553,29 +448,21 @@
                     self._unregister(host, "it is silent and its lease is over")
             if now - host.reported_at > FORGET_HOST_AFTER:
                 del self.hosts[host.name]
-        self._note_checkpoints(now)
+        self._changes.pass_time(now)
         self._expire()
 
     def _unregister(self, host: HostState, reason: str) -> None:
         """Drop a host that can run nothing, so that no new leader waits for it."""
         host.registered = False
-        self._changed_hosts[host.name] = False
+        self._changes.note_host(host.name, present=False)
         logger.warning("host unregistered", extra={"host": host.name, "reason": reason})
 
-    def _note_checkpoints(self, now: timedelta) -> None:
-        """Record new checkpoints now and then, for when all machines lose power."""
-        if now - self._checkpoints_noted_at < CHECKPOINT_INTERVAL:
-            return
-        self._checkpoints_noted_at = now
-        self._changed_jobs |= self._checkpointed_jobs
-        self._checkpointed_jobs.clear()
-
     def _expire(self) -> None:
         before = self._clock.now() - self._settings.keep_ended
         for job_id in self._table.list_expired(before):
             if job_id in self.jobs:
                 del self.jobs[job_id]
-                self._expired.append(job_id)
+                self._changes.note_expired(job_id)
 
     # Decisions
 
@@ -589,9 +476,9 @@
             return
         if now - self._moved_at >= MOVE_INTERVAL:
             self._moved_at = now
-            self._move_slow(usable)
-            self._leave_draining(usable)
-        for step in self._order_steps():
+            self._move(usable, now)
+        startable = [job for job in self.jobs.values() if self._may_start(job)]
+        for step in order_steps(startable, self._find_queue, self._clock.now()):
             service = self._find_queue(step.job).service
             for index in sorted(step.waiting):
                 choice = choose_host(step, service, usable, self._pressures)
@@ -599,68 +486,22 @@
                     break
                 self._start(step, index, choice.host)
 
-    def _move_slow(self, usable: list[HostState]) -> None:
-        """Stop tasks that hardly work, for which there is room elsewhere.
-
-        Answers pairs that turn out to press on each other, and serving tasks that come
-        to a host later: what stands there would hold up its whole job.
-        """
-        now = self._clock.boottime()
-        moved = 0
-        for placement in self._placements.values():
-            since = placement.slow_since
-            if since is None or now - since < SLOW_LIMIT or moved == MOVES_AT_ONCE:
-                continue
-            if placement.phase is not RunPhase.RUNNING:
-                continue
-            service = self._find_queue(placement.step.job).service
-            others = [host for host in usable if host.name != placement.host]
-            choice = choose_host(placement.step, service, others, self._pressures)
-            if choice is not None and choice.harm <= 0:
-                moved += 1
-                logger.info(
-                    "slow run is moved",
-                    extra={
-                        "job": placement.task.job_id,
-                        "task": placement.task.format(),
-                        "host": placement.host,
-                        "slow_seconds": (now - since).total_seconds(),
-                        "room_at": choice.host.name,
-                    },
-                )
-                self._stop(placement)
-
-    def _leave_draining(self, usable: list[HostState]) -> None:
-        """Stop lasting tasks on hosts that end soon, for which there is room elsewhere.
-
-        Answers runners that are emptied: what lasts would be away from their end until
-        it is noticed.
-        """
-        moved = 0
-        for placement in self._placements.values():
-            runner = self.hosts[placement.host].runner
-            if (
-                moved == MOVES_AT_ONCE
-                or runner is None
-                or not runner.draining
-                or not placement.step.step.lasting
-                or placement.phase is not RunPhase.RUNNING
-            ):
-                continue
-            service = self._find_queue(placement.step.job).service
-            choice = choose_host(placement.step, service, usable, self._pressures)
-            if choice is not None:
-                moved += 1
-                logger.info(
-                    "run leaves a draining host",
-                    extra={
-                        "job": placement.task.job_id,
-                        "task": placement.task.format(),
-                        "host": placement.host,
-                        "room_at": choice.host.name,
-                    },
-                )
-                self._stop(placement)
+    def _move(self, usable: list[HostState], now: timedelta) -> None:
+        moves = choose_moves(
+            self._runs, self.hosts, usable, self._find_queue, self._pressures, now
+        )
+        for move in moves:
+            logger.info(
+                "run is moved",
+                extra={
+                    "job": move.placement.task.job_id,
+                    "task": move.placement.task.format(),
+                    "host": move.placement.host,
+                    "reason": move.reason,
+                    "room_at": move.room_at,
+                },
+            )
+            self._runs.stop(move.placement)
 
     def _must_run(self, job: Job) -> bool:
         """Tell whether a job has had nothing running for as long as it may."""
@@ -671,42 +512,16 @@
             and self._clock.boottime() - job.idle_since > LONGEST_IDLE
         )
 
-    def _order_steps(self) -> list[StepState]:
-        """Order the steps whose turn has come: by priority, then by objective.
-
-        Answers overload: what can still be in time goes before what will be late, and
-        both before what is so late that it no longer matters when it ends.
-        """
-        now = self._clock.now()
-        ordered: list[tuple[int, int, datetime, int, StepState]] = []
-        for job in self.jobs.values():
-            if job.phase.final or not self._may_start(job):
-                continue
-            queue = self._find_queue(job)
-            for number, steps in job.occurrences.items():
-                ready = [step for step in steps if _is_ready(step, steps)]
-                if not ready:
-                    continue
-                deadline = job.find_deadline(number, queue)
-                due = job.due_at(number)
-                ends = now + job.find_remaining(number)
-                lateness = int(ends > deadline)
-                lateness += int(ends > due + LATE_FACTOR * (deadline - due))
-                for step in ready:
-                    rank = 0 if step.step.lasting else lateness
-                    ordered.append((queue.priority, rank, deadline, job.offset, step))
-        ordered.sort(key=lambda row: (row[0], row[1], row[2], row[3]))
-        return [row[-1] for row in ordered]
-
     def _may_start(self, job: Job) -> bool:
-        if job.offset >= self._confirmed_end:
+        """Tell whether neither a former leader nor a successor may start the job."""
+        if job.phase.final or job.offset >= self._confirmed_end:
             return False
         return self._gate_open or job.offset >= self._fence_offset
 
     def _start(self, step: StepState, index: int, host: HostState) -> None:
         task = step.tasks[index]
         run = max(task.run, task.ended_run) + 1
-        placement = self._place(step, index, host, run)
+        placement = self._runs.place(step, index, host, run)
         placement.number = host.add_order(
             StartOrder(
                 placement.task.format(),
@@ -779,7 +594,7 @@
             return {}
         host.profiles_due = False
         return {
-            key.format(): _build_profile(self._placements[key].step.step)
+            key.format(): _build_profile(self._runs[key].step.step)
             for key in host.tasks
         }
 
@@ -791,43 +606,12 @@
 
     def take_changes(self) -> Changes:
         """Return what has to be made durable."""
-        records = [
-            LogChange(
-                RecordKey(RecordKind.PROGRESS, job_id),
-                encode_record(self.jobs[job_id].describe()),
-            )
-            for job_id in sorted(self._changed_jobs)
-            if job_id in self.jobs
-        ]
-        hosts = []
-        for name, present in self._changed_hosts.items():
-            key = RecordKey(RecordKind.HOST, name)
-            value = b""
-            if present and name in self.hosts:
-                value = encode_record(HostRecord(self.hosts[name].address))
-                hosts.append(name)
-            records.append(LogChange(key, value))
-        for job_id in self._expired:
-            for kind in (
-                RecordKind.JOB,
-                RecordKind.CANCELLATION,
-                RecordKind.PROGRESS,
-            ):
-                records.append(LogChange(RecordKey(kind, job_id), b""))
-        self._changed_jobs.clear()
-        self._changed_hosts.clear()
-        self._expired.clear()
-        ends = {
-            host.name: (host.runner.born if host.runner else 0, host.ends_seen)
-            for host in self.hosts.values()
-            if host.ends_seen > host.ends_durable
-        }
-        return Changes(tuple(records), ends, tuple(hosts))
+        return self._changes.take(self.jobs, self.hosts)
 
     @property
     def has_changes(self) -> bool:
         """Tell whether something has to be made durable."""
-        return bool(self._changed_jobs or self._changed_hosts or self._expired)
+        return bool(self._changes)
 
     def mark_durable(self, changes: Changes) -> None:
         """Note that changes are on the log."""
@@ -848,12 +632,6 @@
     return TaskProfile(step.cpu, step.fills, step.image, target)
 
 
-def _is_ready(step: StepState, steps: list[StepState]) -> bool:
-    if not step.waiting:
-        return False
-    return all(steps[earlier].complete for earlier in step.step.depends_on)
-
-
 def _is_reborn(host: HostState, report: HostReport) -> bool:
     known = host.runner
     return (
@@ -861,8 +639,3 @@
         and report.runner is not None
         and known.born != report.runner.born
     )
-
-
-def _list_runs(report: HostReport) -> frozenset[tuple[str, int]]:
-    runs = {(running.task, running.run) for running in report.running}
-    return frozenset(runs | set(report.starting))
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -16,7 +16,8 @@
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.platform.runner import Look
 from egretcrank.scheduling.catalog import Catalog, Queue, Service
-from egretcrank.scheduling.cell import Cell, Changes
+from egretcrank.scheduling.cell import Cell
+from egretcrank.scheduling.changes import Changes
 from egretcrank.scheduling.definitions import JobDefinition, Step, parse_task_key
 from egretcrank.scheduling.records import (
     LeaderRecord,
