--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -1,9 +1,15 @@
 """Tests of the cell against runners, lost messages and replaced leaders."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from egretcrank.scheduling.records import Phase
-from egretcrank.wire.hosting import StopOrder
+from egretcrank.wire.hosting import (
+    HostOrders,
+    NumberedOrder,
+    RefusedStart,
+    StopOrder,
+)
 from tests.cases import AsyncTestCase
 from tests.cell_world import World, build_step
 
@@ -239,6 +245,37 @@
         self.assertEqual(len(again), len(held))
         self.assertEqual(world.problems, [])
 
+    def test_a_refusal_of_another_order_frees_nothing(self):
+        """Guards against a refusal of a former leader that is taken for a new one."""
+        world = World(21)
+        world.submit(build_step(lasting=True, width=1))
+        world.run(2)
+        task, run, host = world.starts[0]
+        cell = world.leader.cell
+        assert cell is not None
+        agent = world.agents[host]
+        report = agent.state.build_report(world.now(), agent.pace)
+        stale = RefusedStart(task, run, "unanswered", 99)
+        cell.take_report(replace(report, refused=(stale,)))
+        world.run(1)
+        self.assertEqual(len(world.starts), 1)
+
+    def test_an_agent_takes_no_orders_of_a_former_leader(self):
+        """Guards against orders of a leader that was replaced."""
+        world = World(22)
+        world.run(1)
+        state = world.agents["h0"].state
+        former = HostOrders(
+            epoch=state.epoch - 1,
+            incarnation="i1",
+            authority_seconds=60.0,
+            report_sent_at=world.now().total_seconds(),
+            orders=(NumberedOrder(state.applied + 1, stop=StopOrder("t", 1)),),
+        )
+        until = state.authority_until
+        self.assertEqual(state.take_orders(former), [])
+        self.assertEqual(state.authority_until, until)
+
     def test_a_repetition_starts_when_it_is_due(self):
         """Guards against an occurrence before its time."""
         world = World(16)
