Read settings text in one place; remove what nothing reads

Change: one reader of files and one of INI serve both; the rest is removed. No test file is touched; behaviour stays.

--- a/src/egretcrank/agent/link.py
+++ b/src/egretcrank/agent/link.py
@@ -40,10 +40,9 @@
         )
         socket.dial(f"tcp://{address}", block=False)
         self._socket = socket
-        threading.Thread(target=self._receive, args=(socket,), daemon=True).start()
-
-    def _receive(self, socket: pynng.Pair1) -> None:
-        receive_messages(socket, self._take)
+        threading.Thread(
+            target=receive_messages, args=(socket, self._take), daemon=True
+        ).start()
 
     def send(self, report: HostReport) -> None:
         """Send a report; a lost one is replaced by the next."""
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -50,7 +50,6 @@
         self.applied = 0
         self.authority_until = timedelta()
         self.heard_at: timedelta | None = None
-        self.controllers: tuple[str, ...] = ()
         self.runner: RunnerFacts | None = None
         self.looked = False
         self.left = False
@@ -218,7 +217,6 @@
         authority = sent_at + timedelta(seconds=message.authority_seconds)
         if message.authority_seconds > 0:
             self.authority_until = max(self.authority_until, authority)
-        self.controllers = message.controllers or self.controllers
         if message.born == self.born:
             self._seen_ends = max(self._seen_ends, message.seen_ends)
             self.durable_ends = max(self.durable_ends, message.durable_ends)
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -15,7 +15,6 @@
 from egretcrank.controller.committer import Committer
 from egretcrank.controller.election import (
     CELL,
-    GROUP,
     JOBS_TOPIC,
     JOIN_INTERVAL,
     Appender,
@@ -248,7 +247,6 @@
         with self._lock:
             cell = Cell(cell_settings, self._clock, self._table, epoch)
             cell.catalog = self._service.catalog
-            cell.controllers = (address,)
             cell.open(fence_offset, fenced_at)
             cell.confirm(end, appender.proven_at)
             self._cell = cell
@@ -288,14 +286,6 @@
                 announce_leader(address, message, self._settings.host.name)
             time.sleep(ANNOUNCE_INTERVAL.total_seconds())
 
-    def _find_members(self) -> tuple[str, ...]:
-        match self._store.list_owners(GROUP):
-            case Success(owners):
-                return tuple({o.member.partition("#")[0] for o in owners if o.member})
-            case Failure(problem):
-                logger.info("members unknown", extra={"detail": problem.detail})
-        return ()
-
     # Decisions
 
     def _take_report(self, report: HostReport) -> None:
--- a/src/egretcrank/platform/manifest.py
+++ b/src/egretcrank/platform/manifest.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from egretcrank.errors.kinds import Problem
 from egretcrank.platform.calls import decode_body
@@ -12,7 +12,6 @@
 OPERATOR_TOPIC = "keyed.op"
 OPERATOR_PARTITION = 0
 CONFIGURATION_KEY = "config"
-WAVE_PREFIX = "wave/"
 
 
 class _Route(msgspec.Struct):
@@ -48,12 +47,7 @@
 
 def parse_manifest(value: bytes) -> Result[Catalog, Problem]:
     """Read a configuration; one that cannot be read changes nothing."""
-    match decode_body(value, _Manifest):
-        case Success(manifest):
-            return Success(_build_catalog(manifest))
-        case Failure(problem):
-            return Failure(problem)
-    raise AssertionError("unreachable")
+    return decode_body(value, _Manifest).map(_build_catalog)
 
 
 def _build_catalog(manifest: _Manifest) -> Catalog:
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -19,8 +19,6 @@
 CALL_TIMEOUT = timedelta(seconds=1)
 READ_MARGIN = timedelta(milliseconds=700)
 CONNECTIONS = 8
-# Prefix of a topic that keeps the newest record of each key.
-KEYED = "keyed."
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -22,9 +22,7 @@
 from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves, note_speed
 from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.placement import choose_host
-from egretcrank.scheduling.records import (
-    Phase,
-)
+from egretcrank.scheduling.records import Phase
 from egretcrank.scheduling.runs import Runs
 from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.table import JobEntry, JobTable
@@ -85,7 +83,6 @@
         # Jobs from this offset on may be started by a successor.
         self._confirmed_end = 0
         self._authority_until = timedelta()
-        self.controllers: tuple[str, ...] = ()
 
     # Leadership
 
@@ -585,7 +582,6 @@
                     orders=sent,
                     profiles=self._take_profiles(host),
                     pressures=self._take_pressures(host),
-                    controllers=self.controllers,
                 ),
             )
 
--- a/src/egretcrank/scheduling/runs.py
+++ b/src/egretcrank/scheduling/runs.py
@@ -35,9 +35,7 @@
     ) -> Placement:
         """Reserve what a run of a task needs."""
         key = step.key_of(index)
-        placement = Placement(
-            key, step, host.name, run, RunPhase.ORDERED, self._clock.boottime()
-        )
+        placement = Placement(key, step, host.name, run, RunPhase.ORDERED)
         self._placements[key] = placement
         step.waiting.discard(index)
         step.tasks[index].run = max(step.tasks[index].run, run)
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -37,7 +37,6 @@
         "number",
         "phase",
         "run",
-        "since",
         "slow_since",
         "step",
         "task",
@@ -50,14 +49,12 @@
         host: str,
         run: int,
         phase: RunPhase,
-        since: timedelta,
     ) -> None:
         self.task = task
         self.step = step
         self.host = host
         self.run = run
         self.phase = phase
-        self.since = since
         self.number = 0
         # Since when a task that fills has hardly worked.
         self.slow_since: timedelta | None = None
--- a/src/egretcrank/settings/parser.py
+++ b/src/egretcrank/settings/parser.py
@@ -5,7 +5,7 @@
 import difflib
 import ipaddress
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from pathlib import Path
 from typing import Any, TypeVar
@@ -28,6 +28,7 @@
 )
 
 SectionT = TypeVar("SectionT")
+ValueT = TypeVar("ValueT")
 
 SERVICE_PREFIX = "service "
 SECTIONS: Mapping[str, type[Any]] = {
@@ -42,43 +43,44 @@
 
 def load_settings(path: Path, role: str) -> Result[Settings, tuple[Problem, ...]]:
     """Read the settings file of a process whose role is ``entry`` or ``sidecar``."""
+    return read_text(path).bind(lambda text: parse_settings(text, str(path), role))
+
+
+def read_text(path: Path) -> Result[str, tuple[Problem, ...]]:
+    """Read a settings file."""
     try:
-        text = path.read_text(encoding="utf-8")
+        return Success(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as error:
         return Failure((_report(str(path), f"cannot be read: {error}", "a text file"),))
-    return parse_settings(text, str(path), role)
 
 
 def parse_settings(
     text: str, source: str, role: str
 ) -> Result[Settings, tuple[Problem, ...]]:
     """Check settings as a whole; the failure lists every error found."""
-    parser = configparser.ConfigParser(interpolation=None, default_section="")
-    try:
-        parser.read_string(text, source)
-    except configparser.Error as error:
-        return Failure((_report(source, str(error), "INI sections and keys"),))
-    reader = _SettingsReader(parser, source)
-    settings = reader.read_all(role)
-    if reader.problems:
-        return Failure(tuple(reader.problems))
-    return Success(settings)
+    return _parse(text, source, lambda reader: reader.read_all(role))
 
 
 def parse_sections(
     text: str, source: str, sections: Mapping[str, type[Any]]
 ) -> Result[dict[str, Any], tuple[Problem, ...]]:
     """Check settings of which every section is required and no other is known."""
+    return _parse(text, source, lambda reader: reader.read_sections(sections))
+
+
+def _parse(
+    text: str, source: str, read: Callable[["_SettingsReader"], ValueT]
+) -> Result[ValueT, tuple[Problem, ...]]:
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         parser.read_string(text, source)
     except configparser.Error as error:
         return Failure((_report(source, str(error), "INI sections and keys"),))
     reader = _SettingsReader(parser, source)
-    values = reader.read_sections(sections)
+    value = read(reader)
     if reader.problems:
         return Failure(tuple(reader.problems))
-    return Success(values)
+    return Success(value)
 
 
 def list_rules(section: type[Any]) -> dict[str, tuple[Rule, Any]]:
--- a/src/egretcrank/settings/platform.py
+++ b/src/egretcrank/settings/platform.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
-from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.settings.parser import parse_sections
+from egretcrank.errors.kinds import Problem
+from egretcrank.settings.parser import parse_sections, read_text
 from egretcrank.settings.schema import Kind, setting
 
 
@@ -144,19 +144,4 @@
 def _load(
     path: Path, sections: dict[str, type[Any]]
 ) -> Result[dict[str, Any], tuple[Problem, ...]]:
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        problem = Problem(
-            ErrorKind.INVALID_SETTINGS,
-            f"cannot be read: {error}",
-            str(path),
-            "a text file",
-        )
-        return Failure((problem,))
-    match parse_sections(text, str(path), sections):
-        case Success(values):
-            return Success(values)
-        case Failure(problems):
-            return Failure(problems)
-    raise AssertionError("unreachable")
+    return read_text(path).bind(lambda text: parse_sections(text, str(path), sections))
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -180,7 +180,6 @@
     orders: tuple[NumberedOrder, ...] = ()
     profiles: dict[str, TaskProfile] = field(default_factory=dict)
     pressures: tuple[Pressure, ...] = ()
-    controllers: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
