Let the fittest controller lead, and keep it when slots are dealt anew

Cause: on the grown photo site (72 hosts, frontends of two sizes) the leader was often a machine with a link of 5 Mbit/s.

Ruled out: the store (no call of another controller failed at the same times) and the processor (0.25 of 0.52 of a core).

Change: the name of a member carries the share of a leader's needs that its machine has. All members decide alike from the list of owners: the fittest, then the last leader, then the lowest slot. The group has four topics, so that each member holds a slot and can be seen, and each slot of a generation has an epoch of its own, so that members with different views cannot share one.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -16,7 +16,8 @@
 from egretcrank.agent.pace import FIGURE_INTERVAL, PaceChange, PaceController
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.clock import Clock, SystemClock
-from egretcrank.controller.election import CELL, GROUP
+from egretcrank.controller.candidates import choose_leader
+from egretcrank.controller.election import GROUP, SLOT_TOPICS
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.platform.heartbeats import Heartbeat, HeartbeatEndpoint
 from egretcrank.platform.runner import Look, Runner, Started
@@ -365,11 +366,11 @@
         self._link.connect(address)
 
     def _find_leader(self) -> str:
-        match self._store.list_owners(GROUP):
+        match self._store.list_owners(GROUP, SLOT_TOPICS):
             case Success(owners):
-                for owner in owners:
-                    if owner.partition == CELL and owner.member:
-                        return str(owner.member).partition("#")[0]
+                leader = choose_leader(owners, self._link.address)
+                if leader is not None:
+                    return leader.address
             case Failure(problem):
                 logger.info("leader unknown", extra={"detail": problem.detail})
         return self._link.address
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -7,11 +7,11 @@
 import time
 from datetime import timedelta
 from functools import partial
-from uuid import uuid4
 
 from returns.result import Failure, Success
 
 from egretcrank.clock import Clock, SystemClock
+from egretcrank.controller.candidates import build_member, find_fitness
 from egretcrank.controller.committer import Committer
 from egretcrank.controller.election import (
     CELL,
@@ -78,7 +78,8 @@
         self._committer: Committer | None = None
         self._stopping = threading.Event()
         self._decision_due = False
-        self._member = f"{settings.host.peer_address}#{uuid4().hex[:8]}"
+        member = build_member(settings.host.peer_address, find_fitness(settings.limits))
+        self._election = Election(self._store, member)
         self._jobs_tail = Tail(self._store, JOBS_TOPIC, CELL, clock, self._take_records)
         self._operator_tail = Tail(
             self._store,
@@ -118,7 +119,7 @@
             self._http.serve,
         ):
             start_loop(target.__qualname__, target)
-        logger.info("started", extra={"member": self._member})
+        logger.info("started", extra={"fitness": find_fitness(self._settings.limits)})
         while not self._stopping.wait(SIGNAL_CHECK.total_seconds()):
             pass
         self._shut_down()
@@ -129,7 +130,7 @@
         logger.info("stopping")
         self._ingress.closing = True
         self._resign("process stops")
-        Election(self._store, self._member).leave()
+        self._election.leave()
         self._sleep_until(ends_at - GRACE_MARGIN)
         while (
             self._ingress.in_flight and self._clock.boottime() < ends_at - LAST_MARGIN
@@ -202,9 +203,8 @@
     # Leadership
 
     def _run_election(self) -> None:
-        election = Election(self._store, self._member)
         while not self._stopping.is_set():
-            match election.join():
+            match self._election.join(self._table.leader.address):
                 case Success(membership):
                     self._take_membership(membership)
                 case Failure(problem):
@@ -215,9 +215,9 @@
 
     def _take_membership(self, membership: Membership) -> None:
         if membership.leads and self._cell is None:
-            self._lead(membership.generation)
+            self._lead(membership.epoch)
         elif not membership.leads and self._cell is not None:
-            self._resign("the cell was assigned to another controller")
+            self._resign("another controller is to lead")
 
     def _lead(self, epoch: int) -> None:
         """Fence former leaders, catch up with the log, and open the cell."""
@@ -234,7 +234,7 @@
             case Failure(problem):
                 logger.warning("fence failed", extra={"detail": problem.detail})
                 if problem.kind is ErrorKind.STALE_EPOCH:
-                    Election(self._store, self._member).leave()
+                    self._election.leave()
                 return
         fenced_at = self._clock.boottime()
         if not self._jobs_tail.wait_for(end, CATCH_UP_TIMEOUT):
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -19,6 +19,8 @@
 CALL_TIMEOUT = timedelta(seconds=1)
 READ_MARGIN = timedelta(milliseconds=700)
 CONNECTIONS = 8
+# Slots that each topic of a group may have; the platform gives a topic 8 partitions.
+TOPIC_SLOTS = 64
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -46,17 +48,13 @@
     records: tuple[StoredValue, ...]
 
 
-class Assignment(NamedTuple):
-    """Partitions of a member of a group; ``generation`` grows with each change."""
+class SlotOwner(NamedTuple):
+    """A slot of a group, and the member that holds it.
 
-    generation: int
-    partitions: tuple[int, ...]
-
-
-class PartitionOwner(NamedTuple):
-    """A partition and the member of the group that holds it."""
+    Slots number the partitions of all topics of the group.
+    """
 
-    partition: int
+    slot: int
     member: str
 
 
@@ -81,8 +79,6 @@
 
 class _JoinReply(msgspec.Struct):
     generation: int
-    # Rows of topic, partition and committed offset.
-    parts: list[tuple[str, int, int]]
 
 
 class _OwnersReply(msgspec.Struct):
@@ -155,33 +151,44 @@
                     return Failure(problem)
 
     def join(
-        self, group: str, member: str, topic: str, ttl: timedelta, generation: int
-    ) -> Result[Assignment, Problem]:
-        """Join a group, or stay in it, and learn the partitions of the member."""
+        self,
+        group: str,
+        member: str,
+        topics: Sequence[str],
+        ttl: timedelta,
+        generation: int,
+    ) -> Result[int, Problem]:
+        """Join a group, or stay in it; return its generation, which grows with each
+        change of its members or slots.
+        """
         body = {
             "group": group,
             "member": member,
-            "topics": [topic],
+            "topics": topics,
             "ttl_ms": int(ttl / timedelta(milliseconds=1)),
             "generation": generation,
         }
         reply = self._post("/-/log-join", body)
         return reply.bind(lambda r: decode_body(r.body, _JoinReply)).map(
-            lambda joined: Assignment(
-                joined.generation, tuple(row[1] for row in joined.parts)
-            )
+            lambda joined: joined.generation
         )
 
     def leave(self, group: str, member: str) -> Result[Reply, Problem]:
         """Leave a group, so that its partitions are assigned anew at once."""
         return self._post("/-/log-leave", {"group": group, "member": member})
 
-    def list_owners(self, group: str) -> Result[tuple[PartitionOwner, ...], Problem]:
-        """List which member holds which partition."""
+    def list_owners(
+        self, group: str, topics: Sequence[str]
+    ) -> Result[tuple[SlotOwner, ...], Problem]:
+        """List which member holds which slot."""
         url = f"/-/log-owners?group={quote(group)}"
         reply = self._caller.call("GET", url, None, CALL_TIMEOUT).bind(_require_ok)
         return reply.bind(lambda r: decode_body(r.body, _OwnersReply)).map(
-            lambda owners: tuple(PartitionOwner(row[1], row[2]) for row in owners.parts)
+            lambda owners: tuple(
+                SlotOwner(topics.index(topic) * TOPIC_SLOTS + partition, member)
+                for topic, partition, member, _ in owners.parts
+                if topic in topics
+            )
         )
 
     def _post(self, url: str, body: object) -> Result[Reply, Problem]:
--- a/src/egretcrank/settings/platform.py
+++ b/src/egretcrank/settings/platform.py
@@ -94,6 +94,21 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class LimitSettings:
+    """Section ``[limits]``: what the machine gives to the process."""
+
+    processor_share: float = setting(
+        Kind.NUMBER, "Share of each processor.", 1.0, minimum=0
+    )
+    processors: float = setting(
+        Kind.NUMBER, "Speed of a processor, in usual ones.", 1.0, minimum=0
+    )
+    link_megabits: float = setting(
+        Kind.NUMBER, "Rate of the machine's link, in Mbit/s.", 1000.0, minimum=0
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class RunnerSettings:
     """Section ``[runner]``: the runner beside this agent."""
@@ -111,6 +126,7 @@
     store: StoreSettings
     bounds: BoundSettings
     callers: CallerSettings
+    limits: LimitSettings
 
 
 class AgentSettings(NamedTuple):
@@ -131,7 +147,11 @@
 
 def load_controller(path: Path) -> Result[ControllerSettings, tuple[Problem, ...]]:
     """Read the settings of a controller."""
-    sections = {**COMMON_SECTIONS, "callers": CallerSettings}
+    sections = {
+        **COMMON_SECTIONS,
+        "callers": CallerSettings,
+        "limits": LimitSettings,
+    }
     return _load(path, sections).map(lambda values: ControllerSettings(**values))
 
 
--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,145 @@
+"""Tests of who leads: machines of several sizes, groups that are dealt anew."""
+
+from datetime import timedelta
+from typing import Any
+
+from returns.result import Failure, Success
+
+from egretcrank.controller.candidates import (
+    build_member,
+    choose_leader,
+    find_fitness,
+)
+from egretcrank.controller.election import (
+    EPOCHS_PER_GENERATION,
+    SLOT_TOPICS,
+    Election,
+)
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.platform.store import SlotOwner, Store
+from egretcrank.settings.platform import LimitSettings
+from tests.cases import AsyncTestCase
+from tests.test_platform import build_store
+
+BIG = LimitSettings(processor_share=0.717, processors=3, link_megabits=200)
+SMALL = LimitSettings(processor_share=0.516, processors=1, link_megabits=10)
+
+
+class ChoiceTests(AsyncTestCase):
+    """Choice among the members of the group."""
+
+    def test_a_small_machine_leads_only_where_no_larger_one_is(self):
+        """Guards against a leader whose link is too small for the hosts' reports.
+
+        At 72 hosts a machine with 5 Mbit/s lost its membership every few seconds.
+        """
+        small = build_member("10.0.0.1:1", find_fitness(SMALL))
+        big = build_member("10.0.0.2:1", find_fitness(BIG))
+        owners = [SlotOwner(0, small), SlotOwner(1, big)]
+        leader = choose_leader(owners, "10.0.0.1:1")
+        self.assertEqual(leader and leader.address, "10.0.0.2:1")
+        leader = choose_leader(owners[:1], "10.0.0.2:1")
+        self.assertEqual(leader and leader.address, "10.0.0.1:1")
+
+    def test_a_leader_stays_when_the_slots_are_dealt_anew(self):
+        """Guards against a handover each time that the platform deals the slots."""
+        members = [build_member(f"10.0.0.{i}:1", 100) for i in range(4)]
+        for turn in range(4):
+            owners = [SlotOwner(slot, members[(slot + turn) % 4]) for slot in range(32)]
+            leader = choose_leader(owners, "10.0.0.2:1")
+            self.assertEqual(leader and leader.address, "10.0.0.2:1")
+
+    def test_without_an_incumbent_the_lowest_slot_decides(self):
+        """Guards against members that come to different leaders."""
+        members = [build_member(f"10.0.0.{i}:1", 100) for i in range(3)]
+        owners = [SlotOwner(slot, members[2 - slot]) for slot in range(3)]
+        self.assertEqual(choose_leader(owners, ""), choose_leader(owners[::-1], ""))
+        leader = choose_leader(owners, "")
+        self.assertEqual(leader and leader.address, "10.0.0.2:1")
+
+    def test_free_slots_and_members_of_other_releases_are_no_failure(self):
+        """Guards against names that cannot be read."""
+        owners = [SlotOwner(0, ""), SlotOwner(1, "10.0.0.1:1#ab12cd34")]
+        leader = choose_leader(owners, "")
+        self.assertEqual(leader and leader.address, "10.0.0.1:1")
+        self.assertIsNone(choose_leader([SlotOwner(0, "")], ""))
+
+
+def _join(generation: int) -> tuple[int, bytes]:
+    return 200, b'{"generation":%d,"parts":[]}' % generation
+
+
+def _owners(*members: str) -> tuple[int, bytes]:
+    rows = ",".join(
+        f'["{SLOT_TOPICS[0]}",{part},"{member}",0]'
+        for part, member in enumerate(members)
+    )
+    return 200, b'{"parts":[%s]}' % rows.encode()
+
+
+class ElectionTests(AsyncTestCase):
+    """Joins of one member."""
+
+    def _build(self, *replies: Any) -> tuple[Election, Any]:
+        store = build_store(*replies)
+        return Election(store, "a#100#x"), store._caller
+
+    def test_each_member_has_an_epoch_of_its_own_in_a_generation(self):
+        """Guards against two leaders under one epoch, of which none is fenced.
+
+        Members may see different incumbents, and then each takes itself for the leader.
+        """
+        first, _ = self._build(_join(7), _owners("a#100#x", "b#100#y"), _join(7))
+        second = Election(
+            build_store(_join(7), _owners("a#100#x", "b#100#y"), _join(7)), "b#100#y"
+        )
+        mine, other = first.join("a").unwrap(), second.join("b").unwrap()
+        self.assertTrue(mine.leads and other.leads)
+        self.assertNotEqual(mine.epoch, other.epoch)
+        self.assertLess(max(mine.epoch, other.epoch), 8 * EPOCHS_PER_GENERATION)
+
+    def test_owners_that_changed_while_they_were_read_decide_nothing(self):
+        """Guards against an epoch that another member takes too."""
+        election, _ = self._build(
+            _join(7),
+            _owners("a#100#x"),
+            _join(8),
+            _join(8),
+            _owners("b#100#y"),
+            _join(8),
+        )
+        self.assertEqual(election.join("").failure().kind, ErrorKind.STALE_EPOCH)
+        self.assertFalse(election.join("").unwrap().leads)
+
+    def test_the_owners_are_read_once_a_generation(self):
+        """Guards against reads that grow with the number of controllers."""
+        election, caller = self._build(
+            _join(7), _owners("a#100#x"), _join(7), _join(7), _join(7)
+        )
+        epochs = {election.join("").unwrap().epoch for _ in range(3)}
+        self.assertEqual(len(epochs), 1)
+        self.assertEqual([call[0] for call in caller.calls].count("GET"), 1)
+
+    def test_an_unanswered_join_says_nothing(self):
+        """Guards against a leader that resigns because the log is away."""
+        lost = Failure(Problem(ErrorKind.CALL_TIMEOUT, "no answer"))
+        election, _ = self._build(lost)
+        self.assertEqual(election.join(""), lost)
+
+
+class SlotTests(AsyncTestCase):
+    """Slots as the platform lists them."""
+
+    def test_partitions_of_other_topics_are_no_slots(self):
+        """Guards against slots of an earlier release that count as the same."""
+        body = b'{"parts":[["cells-1",2,"m",0],["other",1,"n",0]]}'
+        store: Store = build_store((200, body))
+        owners = store.list_owners("g", SLOT_TOPICS)
+        self.assertEqual(owners, Success((SlotOwner(66, "m"),)))
+
+    def test_all_topics_are_joined_at_once(self):
+        """Guards against members without a slot, whom nobody can see."""
+        store: Any = build_store((200, b'{"generation":3,"parts":[]}'))
+        store.join("g", "m", SLOT_TOPICS, timedelta(seconds=1), 0)
+        for topic in SLOT_TOPICS:
+            self.assertIn(f'"{topic}"'.encode(), store._caller.calls[0][2])
