Make the leader's decisions and reports cheap at 72 hosts

A profile of the cell at 72 hosts: with each report, for each waiting step, every host was looked at, and predicted harm was computed anew; each report with pressures made all merged pairs be merged again over all hosts; reports and answers carried all pairs each second, most of their bytes.

Change: tasks that fill are placed each 100 ms; steps that cannot fit anywhere need no look at the hosts; harm is kept by host until its next full report; jobs that ended are not walked. The table of pressures keeps sums, and both sides tell only what has changed, and all each 10 s. The decisions moved to scheduling.planner.

Tests: a plan with 200 waiting steps on full hosts looked at hosts 208 times, now at most twice; ten plans in one interval looked ten times for tasks that fill.

--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -7,6 +7,7 @@
 from egretcrank.policy.interference import Estimate
 from egretcrank.policy.sharing import (
     CORE,
+    ChangedPressures,
     SharingModel,
     SharingTask,
 )
@@ -71,16 +72,22 @@
 
     def __init__(self) -> None:
         self._model = SharingModel()
+        self._changed = ChangedPressures()
         self._percents: dict[tuple[str, int], float] = {}
         self._margins: dict[str, float] = {}
         self._over_since: dict[str, timedelta] = {}
         self._told: dict[tuple[str, str], Estimate] = {}
         self.rooms: tuple[ServingRoom, ...] = ()
 
-    @property
-    def pressures(self) -> tuple[Pressure, ...]:
-        """Return what this host has learned by itself."""
-        return self._model.list_pressures()
+    def list_new_pressures(
+        self, at: timedelta, everything: bool
+    ) -> tuple[Pressure, ...]:
+        """Return what this host has learned since it was last asked, or ``everything``
+        that it knows for a new leader.
+        """
+        if everything:
+            self._changed.forget(at)
+        return self._changed.choose(self._model.list_pressures(), at)
 
     def take_pressures(self, pressures: Iterable[Pressure]) -> None:
         """Take what all hosts together have learned."""
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -11,6 +11,7 @@
     HostOrders,
     HostReport,
     NumberedOrder,
+    Pressure,
     RefusedStart,
     Run,
     RunnerFacts,
@@ -256,7 +257,9 @@
         full = full and self.looked
         running: tuple[RunningTask, ...] = ()
         starting: tuple[tuple[str, int], ...] = ()
+        pressures: tuple[Pressure, ...] = ()
         if full:
+            pressures = pace.list_new_pressures(now, self._full_due)
             self._full_at = now
             self._full_sequence = self._full_sequence or self._sequence
             over = {Run(e.task, e.run) for e in self._ended.values()}
@@ -286,7 +289,7 @@
                 self._ended[n] for n in sorted(self._ended) if n > self._seen_ends
             ),
             refused=tuple(self._refused),
-            pressures=pace.pressures if full else (),
+            pressures=pressures,
             rooms=pace.rooms if full else (),
             unprofiled=sum(r.task not in self.profiles for r in self._running),
             leaving=self.left,
--- a/src/egretcrank/policy/sharing.py
+++ b/src/egretcrank/policy/sharing.py
@@ -39,9 +39,27 @@
 # Millicores in a core.
 CORE = 1000
 
+# Changes of a pressure that are worth a message, and the interval in which all are told
+# again: half of the smallest deviation, and some reports.
+LEAST_CHANGE = LEAST_DEVIATION / 2
+TOLD_SHARE = 0.8
+REFRESH_INTERVAL = timedelta(seconds=10)
+
 NO_BASELINE = Estimate(0.0, 1e-6)
 
 
+class _Sum(NamedTuple):
+    """Precisions of estimates, and means weighted with them."""
+
+    precision: float
+    weighted: float
+
+
+PRIOR_SUM = _Sum(
+    PRIOR_PRESSURE.deviation**-2, PRIOR_PRESSURE.mean * PRIOR_PRESSURE.deviation**-2
+)
+
+
 class SharingTask(NamedTuple):
     """A run on a host with its last figures.
 
@@ -208,45 +226,88 @@
 
 
 class PressureTable:
-    """What the hosts learned of each pair, put together."""
+    """What the hosts learned of each pair, put together.
+
+    Hosts report only what has changed, so that the sums are kept from one report to the
+    next.
+    """
 
     def __init__(self) -> None:
         self._by_host: dict[str, dict[tuple[str, str], Pressure]] = {}
-        self._merged: dict[tuple[str, str], Estimate] = {}
+        self._sums: dict[tuple[str, str], _Sum] = {}
+        self._filling: defaultdict[str, set[str]] = defaultdict(set)
 
     def take(self, host: str, pressures: Iterable[Pressure]) -> None:
-        """Take what one host has learned by itself."""
-        known = {(p.filling, p.serving): p for p in pressures}
-        if known != self._by_host.get(host):
-            self._by_host[host] = known
-            self._merged.clear()
+        """Take what one host has learned by itself since its last report."""
+        known = self._by_host.setdefault(host, {})
+        for pressure in pressures:
+            pair = (pressure.filling, pressure.serving)
+            self._add(pair, known.get(pair), -1)
+            self._add(pair, pressure, 1)
+            known[pair] = pressure
+            self._filling[pressure.serving].add(pressure.filling)
+
+    def forget(self, host: str) -> None:
+        """Forget what a host had learned."""
+        for pair, pressure in self._by_host.pop(host, {}).items():
+            self._add(pair, pressure, -1)
+
+    def _add(self, pair: tuple[str, str], found: Pressure | None, sign: int) -> None:
+        """Add what one host knows beyond the prior, which all of them start from."""
+        if found is None:
+            return
+        total = self._sums.get(pair, PRIOR_SUM)
+        own = 1 / max(found.deviation, LEAST_DEVIATION) ** 2
+        self._sums[pair] = _Sum(
+            total.precision + sign * (own - PRIOR_SUM.precision),
+            total.weighted + sign * (own * found.mean - PRIOR_SUM.weighted),
+        )
 
     def estimate(self, filling: str, serving: str) -> Estimate:
         """Return the pressure of a pair; each host started from the same prior."""
-        pair = (filling, serving)
-        if pair not in self._merged:
-            self._merged[pair] = self._merge(pair)
-        return self._merged[pair]
-
-    def _merge(self, pair: tuple[str, str]) -> Estimate:
-        prior = 1 / PRIOR_PRESSURE.deviation**2
-        precision = prior
-        weighted = prior * PRIOR_PRESSURE.mean
-        for known in self._by_host.values():
-            found = known.get(pair)
-            if found is not None:
-                own = 1 / max(found.deviation, LEAST_DEVIATION) ** 2
-                precision += own - prior
-                weighted += own * found.mean - prior * PRIOR_PRESSURE.mean
-        return Estimate(max(0.0, weighted / precision), precision**-0.5)
+        total = self._sums.get((filling, serving), PRIOR_SUM)
+        mean = max(0.0, total.weighted / total.precision)
+        return Estimate(mean, total.precision**-0.5)
 
     def list_for(self, serving: Iterable[str]) -> tuple[Pressure, ...]:
         """List the known pairs of some serving images."""
-        wanted = set(serving)
-        pairs = {
-            pair
-            for known in self._by_host.values()
-            for pair in known
-            if pair[1] in wanted
-        }
-        return tuple(Pressure(*pair, *self.estimate(*pair)) for pair in sorted(pairs))
+        return tuple(
+            Pressure(filling, image, *self.estimate(filling, image))
+            for image in serving
+            for filling in sorted(self._filling.get(image, ()))
+        )
+
+
+class ChangedPressures:
+    """Chooses the pressures of which a peer has to be told.
+
+    Answers many hosts with many images: told in full with each report, they were most
+    of the bytes between agents and their leader.
+    """
+
+    def __init__(self) -> None:
+        self._told: dict[tuple[str, str], Pressure] = {}
+        self._refreshed_at = timedelta()
+
+    def choose(
+        self, pressures: Iterable[Pressure], at: timedelta
+    ) -> tuple[Pressure, ...]:
+        """Return what has changed, and now and then all, as messages may be lost."""
+        if at - self._refreshed_at >= REFRESH_INTERVAL:
+            self.forget(at)
+        changed = tuple(p for p in pressures if self._differs(p))
+        self._told.update(((p.filling, p.serving), p) for p in changed)
+        return changed
+
+    def forget(self, at: timedelta) -> None:
+        """Tell everything next time, as to a new peer."""
+        self._told.clear()
+        self._refreshed_at = at
+
+    def _differs(self, pressure: Pressure) -> bool:
+        told = self._told.get((pressure.filling, pressure.serving))
+        return (
+            told is None
+            or abs(pressure.mean - told.mean) > LEAST_CHANGE
+            or pressure.deviation < TOLD_SHARE * told.deviation
+        )
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -13,15 +13,14 @@
 from egretcrank.policy.sharing import PressureTable
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.changes import ChangeCollector, Changes
-from egretcrank.scheduling.definitions import Step, parse_task_key
+from egretcrank.scheduling.definitions import parse_task_key
 from egretcrank.scheduling.hosts import (
     RESEND_AFTER,
     ForeignRun,
     HostState,
 )
-from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves, note_speed
-from egretcrank.scheduling.ordering import order_steps
-from egretcrank.scheduling.placement import choose_host
+from egretcrank.scheduling.moves import note_speed
+from egretcrank.scheduling.planner import Planner, build_profile
 from egretcrank.scheduling.records import Phase
 from egretcrank.scheduling.runs import Runs
 from egretcrank.scheduling.settings import CellSettings
@@ -40,7 +39,6 @@
     Pressure,
     RefusedStart,
     RunningTask,
-    StartOrder,
     StopOrder,
     TaskProfile,
 )
@@ -51,8 +49,6 @@
 RUN_GAP = 16
 # A silent host is forgotten after this; by then its last lease is long over.
 FORGET_HOST_AFTER = timedelta(seconds=10)
-# A job with nothing running gets a task even where it has to be paced.
-LONGEST_IDLE = timedelta(seconds=1)
 # Leases that are about to end cannot carry a new task.
 LEAST_AUTHORITY = timedelta(seconds=1)
 
@@ -71,11 +67,16 @@
         self.epoch = epoch
         self.catalog: Catalog = EMPTY_CATALOG
         self.jobs: dict[str, Job] = {}
+        # Those of the jobs that have not ended.
+        self._open_jobs: dict[str, Job] = {}
+        self._highest_offset = -1
         self.hosts: dict[str, HostState] = {}
         self._runs = Runs(self.hosts, clock)
         self._pressures = PressureTable()
         self._changes = ChangeCollector()
-        self._moved_at = timedelta()
+        self._planner = Planner(
+            self._runs, self.hosts, self._pressures, self._find_queue, clock
+        )
         # Jobs before this offset may have been started by a former leader.
         self._fence_offset = 0
         self._gate_opens_at = timedelta()
@@ -115,10 +116,7 @@
     @property
     def confirmation_due(self) -> bool:
         """Tell whether an accepted job waits for a proof of leadership."""
-        return any(
-            job.offset >= self._confirmed_end and not job.phase.final
-            for job in self.jobs.values()
-        )
+        return self._highest_offset >= self._confirmed_end
 
     def _check_gate(self) -> None:
         if self._gate_open:
@@ -136,7 +134,7 @@
             self._skip_unknown_runs()
 
     def _skip_unknown_runs(self) -> None:
-        for job in self.jobs.values():
+        for job in self._open_jobs.values():
             for steps in job.occurrences.values():
                 for step in steps:
                     for index in step.waiting:
@@ -162,6 +160,8 @@
         if entry.progress is not None:
             job.restore(entry.progress)
         if not job.phase.final:
+            self._open_jobs[job_id] = job
+            self._highest_offset = max(self._highest_offset, job.offset)
             self._add_due_occurrences(job)
         return job
 
@@ -181,6 +181,7 @@
     def _end_job(self, job: Job, phase: Phase, reason: str) -> None:
         job.phase = phase
         job.ended_at = self._clock.now()
+        self._open_jobs.pop(job.job_id, None)
         self._changes.note_job(job.job_id)
         logger.info(
             "job ended",
@@ -294,7 +295,7 @@
             reported.add((task, run))
             self._take_run(host, RunningTask(task, run, "", 0, 0.0))
         host.foreign = {f for f in host.foreign if (f.task, f.run) in reported}
-        host.rooms = {room.image: room.room for room in report.rooms}
+        host.take_rooms(report.rooms)
         host.pressures_due = True
         self._pressures.take(host.name, report.pressures)
         for key in list(host.tasks):
@@ -426,8 +427,8 @@
         """Apply what follows from time alone."""
         now = self._clock.boottime()
         self._check_gate()
-        for job in self.jobs.values():
-            if job.definition.repetitions and not job.phase.final:
+        for job in self._open_jobs.values():
+            if job.definition.repetitions:
                 self._add_due_occurrences(job)
         for host in list(self.hosts.values()):
             if now <= host.granted_until + self._settings.lease_margin:
@@ -445,6 +446,7 @@
                     self._unregister(host, "it is silent and its lease is over")
             if now - host.reported_at > FORGET_HOST_AFTER:
                 del self.hosts[host.name]
+                self._pressures.forget(host.name)
         self._changes.pass_time(now)
         self._expire()
 
@@ -465,85 +467,17 @@
 
     def plan(self) -> None:
         """Place waiting tasks; the orders are taken with ``take_orders``."""
-        now = self._clock.boottime()
-        if self._authority_until - now < LEAST_AUTHORITY:
+        if self._authority_until - self._clock.boottime() < LEAST_AUTHORITY:
             return
-        usable = [host for host in self.hosts.values() if host.is_usable(now)]
-        if not usable:
-            return
-        if now - self._moved_at >= MOVE_INTERVAL:
-            self._moved_at = now
-            self._move(usable, now)
-        startable = [job for job in self.jobs.values() if self._may_start(job)]
-        for step in order_steps(startable, self._find_queue, self._clock.now()):
-            service = self._find_queue(step.job).service
-            for index in sorted(step.waiting):
-                choice = choose_host(step, service, usable, self._pressures)
-                if choice is None or (choice.harm > 0 and not self._must_run(step.job)):
-                    break
-                self._start(step, index, choice.host)
-
-    def _move(self, usable: list[HostState], now: timedelta) -> None:
-        moves = choose_moves(
-            self._runs, self.hosts, usable, self._find_queue, self._pressures, now
-        )
-        for move in moves:
-            logger.info(
-                "run is moved",
-                extra={
-                    "job": move.placement.task.job_id,
-                    "task": move.placement.task.format(),
-                    "host": move.placement.host,
-                    "reason": move.reason,
-                    "room_at": move.room_at,
-                },
-            )
-            self._runs.stop(move.placement)
-
-    def _must_run(self, job: Job) -> bool:
-        """Tell whether a job has had nothing running for as long as it may."""
-        if job.idle_since is None and not job.active_runs:
-            job.idle_since = self._clock.boottime()
-        return (
-            job.idle_since is not None
-            and self._clock.boottime() - job.idle_since > LONGEST_IDLE
-        )
+        startable = [job for job in self._open_jobs.values() if self._may_start(job)]
+        self._planner.plan(startable)
 
     def _may_start(self, job: Job) -> bool:
         """Tell whether neither a former leader nor a successor may start the job."""
-        if job.phase.final or job.offset >= self._confirmed_end:
+        if job.offset >= self._confirmed_end:
             return False
         return self._gate_open or job.offset >= self._fence_offset
 
-    def _start(self, step: StepState, index: int, host: HostState) -> None:
-        task = step.tasks[index]
-        run = max(task.run, task.ended_run) + 1
-        placement = self._runs.place(step, index, host, run)
-        placement.number = host.add_order(
-            StartOrder(
-                placement.task.format(),
-                run,
-                step.job.definition.spec,
-                task.checkpoint,
-                "",
-                _build_profile(step.step),
-            )
-        )
-        logger.info(
-            "run ordered",
-            extra={
-                "job": step.job.job_id,
-                "task": placement.task.format(),
-                "run": run,
-                "host": host.name,
-                "free_cpu": host.free_cpu,
-                "filling_cpu": host.filling_cpu,
-                "report_age": (
-                    self._clock.boottime() - host.reported_at
-                ).total_seconds(),
-            },
-        )
-
     # Output
 
     def take_orders(self) -> Iterable[tuple[HostState, HostOrders]]:
@@ -590,15 +524,15 @@
             return {}
         host.profiles_due = False
         return {
-            key.format(): _build_profile(self._runs[key].step.step)
-            for key in host.tasks
+            key.format(): build_profile(self._runs[key].step.step) for key in host.tasks
         }
 
     def _take_pressures(self, host: HostState) -> tuple[Pressure, ...]:
         if not host.pressures_due:
             return ()
         host.pressures_due = False
-        return self._pressures.list_for(+host.serving_images)
+        known = self._pressures.list_for(host.serving_images)
+        return host.told_pressures.choose(known, self._clock.boottime())
 
     def take_changes(self) -> Changes:
         """Return what has to be made durable."""
@@ -623,11 +557,6 @@
                 host.registered = True
 
 
-def _build_profile(step: Step) -> TaskProfile:
-    target = step.target / timedelta(milliseconds=1)
-    return TaskProfile(step.cpu, step.fills, step.image, target)
-
-
 def _is_reborn(host: HostState, report: HostReport) -> bool:
     known = host.runner
     return (
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -1,11 +1,19 @@
 """State of the hosts of a cell at the controller that leads it."""
 
 from collections import Counter
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
+from egretcrank.policy.sharing import ChangedPressures
 from egretcrank.scheduling.definitions import Step, TaskKey
-from egretcrank.wire.hosting import NumberedOrder, RunnerFacts, StartOrder, StopOrder
+from egretcrank.wire.hosting import (
+    NumberedOrder,
+    RunnerFacts,
+    ServingRoom,
+    StartOrder,
+    StopOrder,
+)
 
 # An agent reports twice a second at least; after two missed reports nothing new is
 # placed on its host.
@@ -58,7 +66,10 @@
         self.filling_images: Counter[str] = Counter()
         # Utilization that may be pressed on each serving image.
         self.rooms: dict[str, float] = {}
+        # Harm that was predicted since the host last changed, by image and millicores.
+        self.harm: dict[tuple[str, int], float] = {}
         self.pressures_due = False
+        self.told_pressures = ChangedPressures()
         self.used_memory = 0
         self.used_accelerators = 0
         self.filling_cpu = 0
@@ -73,6 +84,16 @@
         """Return the unreserved processor time, in thousandths of a core."""
         return (self.runner.cpu if self.runner else 0) - self.used_cpu
 
+    @property
+    def free_memory(self) -> int:
+        """Return the unreserved memory, in MiB."""
+        return (self.runner.memory if self.runner else 0) - self.used_memory
+
+    @property
+    def free_accelerators(self) -> int:
+        """Return the number of unreserved accelerators."""
+        return (self.runner.accelerators if self.runner else 0) - self.used_accelerators
+
     @property
     def unused_cpu(self) -> float:
         """Return what is left to one more task that fills, as far as can be told."""
@@ -80,27 +101,33 @@
         in_use = self.used_cpu - (1 - SERVING_USE) * self.serving_cpu
         return capacity - in_use - self.filling_cpu
 
+    def take_rooms(self, rooms: Iterable[ServingRoom]) -> None:
+        """Take what the serving tasks of the host have left."""
+        self.rooms = {room.image: room.room for room in rooms}
+        self.harm.clear()
+
     def reserve(self, step: Step, sign: int = 1) -> None:
         """Reserve what a task needs, or release it with ``sign`` -1."""
+        if step.target or step.fills:
+            self.harm.clear()
         self.used_memory += sign * step.memory
         self.used_accelerators += sign * step.accelerators
         if step.target:
             self.serving_cpu += sign * step.cpu
-            self.serving_images[step.image] += sign
+            _add(self.serving_images, step.image, sign)
         if step.fills:
-            self.filling_images[step.image] += sign * step.cpu
+            _add(self.filling_images, step.image, sign * step.cpu)
             self.filling_cpu += sign * step.cpu
         else:
             self.used_cpu += sign * step.cpu
 
     def can_hold(self, step: Step) -> bool:
         """Tell whether a task fits beside what is reserved."""
-        runner = self.runner
         return (
-            runner is not None
-            and self.used_memory + step.memory <= runner.memory
-            and self.used_accelerators + step.accelerators <= runner.accelerators
-            and (step.fills or self.used_cpu + step.cpu <= runner.cpu)
+            self.runner is not None
+            and step.memory <= self.free_memory
+            and step.accelerators <= self.free_accelerators
+            and (step.fills or step.cpu <= self.free_cpu)
         )
 
     def is_usable(self, now: timedelta) -> bool:
@@ -143,3 +170,11 @@
         self.last_number = 0
         self.applied = 0
         self.foreign.clear()
+        self.told_pressures = ChangedPressures()
+
+
+def _add(counter: Counter[str], image: str, change: int) -> None:
+    """Change a count; images that are gone are not kept."""
+    counter[image] += change
+    if not counter[image]:
+        del counter[image]
--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -19,6 +19,22 @@
 LAST_RANK = -1000.0
 
 
+class Room(NamedTuple):
+    """What a task may need at most to fit on any of some hosts."""
+
+    cpu: int
+    memory: int
+    accelerators: int
+
+    def may_hold(self, step: Step) -> bool:
+        """Tell whether it is worth while to look for a host."""
+        return (
+            step.memory <= self.memory
+            and step.accelerators <= self.accelerators
+            and (step.fills or step.cpu <= self.cpu)
+        )
+
+
 class Candidate(NamedTuple):
     """A host that can hold a task, with its rank; the highest one is chosen.
 
@@ -30,6 +46,18 @@
     harm: float
 
 
+def find_room(hosts: Sequence[HostState]) -> Room:
+    """Return the largest free amounts, each of any host.
+
+    Answers overload: with hundreds of steps waiting, most need no look at the hosts.
+    """
+    return Room(
+        max((host.free_cpu for host in hosts), default=0),
+        max((host.free_memory for host in hosts), default=0),
+        max((host.free_accelerators for host in hosts), default=0),
+    )
+
+
 def choose_host(
     step: StepState,
     service: str,
@@ -45,14 +73,14 @@
     best: Candidate | None = None
     spare = False
     if step.step.target:
-        empty = sum(not +host.serving_images for host in hosts)
+        empty = sum(not host.serving_images for host in hosts)
         spare = empty > SPARE_SHARE * len(hosts)
     for host in hosts:
         if not is_eligible(step, service, host):
             continue
         harm = 0.0
         if step.step.fills:
-            harm = _predict_harm(step.step, host, pressures)
+            harm = _find_harm(step.step, host, pressures)
         candidate = Candidate(_rank(step, host, harm, spare), host, harm)
         if best is None or candidate.rank > best.rank:
             best = candidate
@@ -89,12 +117,24 @@
     An empty host is opened for another image only while many are empty; after that
     images are mixed, so that some hosts stay free for what fills.
     """
-    images = +host.serving_images
+    images = host.serving_images
     if not images:
         return EMPTY_RANK if spare else LAST_RANK
     return SAME_RANK if set(images) == {image} else MIXED_RANK - len(images)
 
 
+def _find_harm(step: Step, host: HostState, pressures: PressureTable) -> float:
+    """Return the predicted harm, which a host keeps until its next full report.
+
+    What other hosts learn of a pair in the meantime, a second at most, is left out.
+    """
+    key = (step.image, step.cpu)
+    harm = host.harm.get(key)
+    if harm is None:
+        harm = host.harm[key] = _predict_harm(step, host, pressures)
+    return harm
+
+
 def _predict_harm(step: Step, host: HostState, pressures: PressureTable) -> float:
     """Return by how much utilizations would be over the limit beside one more task.
 
@@ -103,7 +143,7 @@
     """
     filling = host.filling_images + Counter({step.image: step.cpu})
     worst = 0.0
-    for serving in +host.serving_images:
+    for serving in host.serving_images:
         used = 0.0
         for image, cpu in filling.items():
             pressure = pressures.estimate(image, serving)
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -143,7 +143,9 @@
         # Runs that hold capacity, and since when there is none.
         self.active_runs = 0
         self.idle_since: timedelta | None = None
-        self._chain = _find_longest_chain(definition.steps)
+        self._chain = _find_longest_chain(
+            definition.steps, [step.estimate for step in definition.steps]
+        )
 
     @property
     def job_id(self) -> str:
@@ -187,11 +189,10 @@
     def find_remaining(self, occurrence: int) -> timedelta:
         """Return the longest chain of work that is left, by the estimates."""
         steps = self.occurrences[occurrence]
-        left = [
-            step.step._replace(estimate=timedelta()) if step.complete else step.step
-            for step in steps
-        ]
-        return _find_longest_chain(tuple(left))
+        return _find_longest_chain(
+            self.definition.steps,
+            [timedelta() if s.complete else s.step.estimate for s in steps],
+        )
 
     def is_complete(self) -> bool:
         """Tell whether every occurrence is complete."""
@@ -224,9 +225,11 @@
         )
 
 
-def _find_longest_chain(steps: tuple[Step, ...]) -> timedelta:
+def _find_longest_chain(
+    steps: tuple[Step, ...], durations: list[timedelta]
+) -> timedelta:
     ends: list[timedelta] = []
-    for step in steps:
+    for step, duration in zip(steps, durations, strict=True):
         begin = max((ends[earlier] for earlier in step.depends_on), default=timedelta())
-        ends.append(begin + step.estimate)
+        ends.append(begin + duration)
     return max(ends, default=timedelta())
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -132,9 +132,10 @@
     order number taken in the session; sessions are numbered within an epoch.
     ``running`` and ``starting`` are complete if ``full`` is set and empty otherwise.
     ``sent_at`` is a reading of the agent's own clock, which the controller returns.
-    ``pressures`` are what this host learned by itself, ``rooms`` what its serving tasks
-    have left; both come with ``full``. ``unprofiled`` counts the tasks whose profile
-    the agent lacks since its restart. ``silent`` tells that the runner does not answer.
+    ``pressures`` are what this host learned by itself and has not told yet, ``rooms``
+    what its serving tasks have left; both come with ``full``. ``unprofiled`` counts the
+    tasks whose profile the agent lacks since its restart. ``silent`` tells that the
+    runner does not answer.
     """
 
     host: str = ""
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -2,7 +2,11 @@
 
 from dataclasses import replace
 from datetime import timedelta
+from unittest.mock import Mock, patch
 
+from egretcrank.scheduling import planner
+from egretcrank.scheduling.ordering import order_steps
+from egretcrank.scheduling.placement import choose_host
 from egretcrank.scheduling.records import Phase
 from egretcrank.wire.hosting import (
     HostOrders,
@@ -361,3 +365,47 @@
             world.late.popleft().carry_out()
         if dice.random() < 0.02:
             world.clock.advance(timedelta(seconds=2))
+
+
+class OverloadTests(AsyncTestCase):
+    """Cost of decisions when far more work waits than hosts can hold."""
+
+    def test_a_plan_looks_at_the_hosts_for_few_of_many_waiting_steps(self):
+        """Guards against a leader that is too busy to answer hosts in a burst.
+
+        At 72 hosts and 200 waiting jobs each decision looked at every host for each
+        job, which took most of the processor of a small controller.
+        """
+        world = World(6, hosts=8, capacity=4000)
+        for _ in range(16):
+            world.submit(build_step(width=2, cpu=2000, lasting=True))
+        world.run(2)
+        for _ in range(200):
+            world.submit(build_step(width=3, cpu=1000))
+        world.run(1)
+        leader = world.leader
+        assert leader.cell is not None
+        choose = Mock(wraps=choose_host)
+        with patch.object(planner, "choose_host", choose):
+            leader.cell.plan()
+        self.assertLessEqual(choose.call_count, 2)
+
+    def test_tasks_that_fill_are_looked_at_once_an_interval(self):
+        """Guards against a search for hosts with each of many reports."""
+        world = World(7, hosts=8, capacity=4000)
+        world.run(1)
+        world.submit(build_step(width=3, fills=True, label="missing"))
+        world.run(1)
+        leader = world.leader
+        assert leader.cell is not None
+        leader.cell.plan()
+        order = Mock(wraps=order_steps)
+        choose = Mock(wraps=choose_host)
+        with (
+            patch.object(planner, "order_steps", order),
+            patch.object(planner, "choose_host", choose),
+        ):
+            for _ in range(10):
+                leader.cell.plan()
+        self.assertEqual(order.call_count, 10)
+        self.assertEqual(choose.call_count, 0)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -5,6 +5,8 @@
 from egretcrank.agent.pace import HARM_LIMIT, PaceController
 from egretcrank.policy.sharing import (
     PRIOR_PRESSURE,
+    REFRESH_INTERVAL,
+    ChangedPressures,
     PressureTable,
     SharingModel,
     SharingTask,
@@ -60,9 +62,34 @@
         merged = table.estimate("f", "s")
         self.assertGreater(merged.mean, 0.1 - 0.01)
         self.assertLess(merged.deviation, 0.02)
-        table.take("a", [])
+        table.forget("a")
         self.assertGreater(table.estimate("f", "s").deviation, merged.deviation)
 
+    def test_a_later_report_replaces_what_the_host_said_before(self):
+        """Guards against counting one host twice, and against sums that drift."""
+        table, other = PressureTable(), PressureTable()
+        for mean in (0.3, 0.2, 0.1):
+            table.take("a", [Pressure("f", "s", mean, 0.03), Pressure("g", "s", 0, 1)])
+        table.take("a", [])
+        other.take("a", [Pressure("f", "s", 0.1, 0.03)])
+        for ours, theirs in zip(
+            table.estimate("f", "s"), other.estimate("f", "s"), strict=True
+        ):
+            self.assertAlmostEqual(ours, theirs)
+        self.assertEqual([p.filling for p in table.list_for(["s"])], ["f", "g"])
+
+    def test_only_changes_are_told_until_all_are_told_again(self):
+        """Guards against reports that grow with the images and fill the link."""
+        changed = ChangedPressures()
+        at = timedelta(seconds=100)
+        pressures = [Pressure(f"f{i}", "s", 0.05, 0.03) for i in range(50)]
+        self.assertEqual(len(changed.choose(pressures, at)), 50)
+        self.assertEqual(changed.choose(pressures, at), ())
+        pressures[7] = pressures[7]._replace(mean=0.09)
+        self.assertEqual(changed.choose(pressures, at), (pressures[7],))
+        later = at + REFRESH_INTERVAL
+        self.assertEqual(len(changed.choose(pressures, later)), 50)
+
 
 class PaceTests(AsyncTestCase):
     """Paces over a load that swings within seconds."""
