--- a/src/egretcrank/observability/exposition.py
+++ b/src/egretcrank/observability/exposition.py
@@ -1,4 +1,4 @@
-"""HTTP interface of a sidecar for its metrics."""
+"""HTTP interface of a process for its metrics."""
 
 import threading
 from collections.abc import Callable, Iterable
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -70,6 +70,77 @@
             registry=self._registry,
         )
 
+        self.request_calls = Counter(
+            "egretcrank_caller_requests_total",
+            "Requests of callers by method and status.",
+            registry=self._registry,
+        )
+        self.caller_seconds = Histogram(
+            "egretcrank_caller_seconds",
+            "Time to answer a caller by method.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.runs = Counter(
+            "egretcrank_runs_total",
+            "Runs of tasks by event (placed, or why the run ended).",
+            registry=self._registry,
+        )
+        self.first_start_seconds = Histogram(
+            "egretcrank_first_start_seconds",
+            "Time from handing a job in to the start of its first task.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.decision_seconds = Histogram(
+            "egretcrank_decision_seconds",
+            "Time of one round of decisions of the leader.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.append_seconds = Histogram(
+            "egretcrank_append_seconds",
+            "Time of one append of the leader, with its repetitions.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.leader_epoch = Gauge(
+            "egretcrank_leader_epoch",
+            "Epoch under which this controller leads, 0 if it does not.",
+            registry=self._registry,
+        )
+        self.hosts = Gauge(
+            "egretcrank_hosts",
+            "Hosts of the cell by state (attached or not).",
+            registry=self._registry,
+        )
+        self.open_jobs = Gauge(
+            "egretcrank_open_jobs",
+            "Jobs of the cell that have not ended.",
+            registry=self._registry,
+        )
+        self.runner_calls = Counter(
+            "egretcrank_runner_calls_total",
+            "Calls to the runner by call and result (ok or an error kind).",
+            registry=self._registry,
+        )
+        self.runner_seconds = Histogram(
+            "egretcrank_runner_start_seconds",
+            "Time of one start at the runner.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.paces = Counter(
+            "egretcrank_paces_total",
+            "Changes of pace of tasks that fill.",
+            registry=self._registry,
+        )
+        self.authority_seconds = Gauge(
+            "egretcrank_authority_seconds",
+            "Time for which leases may be kept without a further answer of the leader.",
+            registry=self._registry,
+        )
+
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers for an HTTP answer."""
         body, headers = render(self._registry, [accept])
