Append callers' records through the leader, and serve metrics

Thirteen controllers appended each job by itself: at 228 ms an append and 2 s of queue, the log refused most, the fence of the next leader among them. Joins of the group took longer than memberships lasted, so that its generation changed with nearly each join, and the takeover ran on the thread that joins.

Change: controllers hand records to the leader, which appends them with its own, one append at a time. Records wait for the next leader for half of their caller's time; only where the leader lives but cannot be reached a controller appends by itself. A takeover has a thread of its own and repeats its fence. Memberships last four of the last call's durations longer. Epochs come from the member's own slots, so that the list of owners needs no second join. Pages of newest records may take 3 s.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -12,19 +12,27 @@
 from cheroot.wsgi import Server
 from returns.result import Failure, Success
 
-from egretcrank.agent.link import AnnouncementReceiver, LeaderLink, LeaderMessage
 from egretcrank.agent.pace import FIGURE_INTERVAL, PaceChange, PaceController
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.election import GROUP, SLOT_TOPICS
-from egretcrank.errors.kinds import ErrorKind
+from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.observability.exposition import MetricsServer
+from egretcrank.observability.logs import flush_logs
+from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.heartbeats import Heartbeat, HeartbeatEndpoint
 from egretcrank.platform.runner import Look, Runner, Started
 from egretcrank.platform.store import Store
 from egretcrank.settings.platform import AgentSettings
+from egretcrank.transport.leader import (
+    AnnouncementReceiver,
+    LeaderLink,
+    LeaderMessage,
+)
 from egretcrank.transport.loops import start_loop
 from egretcrank.wire.hosting import (
+    AppendAnswer,
     HostOrders,
     LeaderMoved,
     NumberedOrder,
@@ -58,6 +66,7 @@
         self._settings = settings
         self._clock = clock
         self._lock = threading.RLock()
+        self._metrics = Metrics()
         self._store = Store(settings.store.address)
         self._runner = Runner(settings.runner.address)
         self._state = AgentState(
@@ -97,13 +106,25 @@
             self._run_reports,
         ):
             start_loop(target.__qualname__, target)
+        MetricsServer(self._settings.host.metrics_address, self._render_metrics)
         logger.info("started")
         while not self._stopping.wait(SIGNAL_CHECK.total_seconds()):
             pass
         logger.info("stopped")
         # The runner keeps its tasks; a successor with a higher token takes over.
+        flush_logs()
         os._exit(0)
 
+    def _render_metrics(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        with self._lock:
+            left = self._state.authority_until - self._clock.boottime()
+        self._metrics.authority_seconds.set({}, max(0.0, left.total_seconds()))
+        return self._metrics.render(accept)
+
+    def _count_call(self, call: str, failed: Problem | None) -> None:
+        result = failed.kind.value if failed else "ok"
+        self._metrics.runner_calls.inc({"call": call, "result": result})
+
     # Runner
 
     def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -150,10 +171,12 @@
             seen = self._state.durable_ends
         match self._runner.look(deadline, token, seen, wait):
             case Success(look):
+                self._count_call("look", None)
                 self._note_runner("")
                 self._take_look(look)
                 return True
             case Failure(problem):
+                self._count_call("look", problem)
                 if problem.kind is ErrorKind.STALE_EPOCH:
                     self._raise_token(token)
                 else:
@@ -205,6 +228,7 @@
             self._state.running, self._state.profiles, self._state.figures, now
         )
         if changes:
+            self._metrics.paces.add({}, len(changes))
             logger.info(
                 "pace", extra={"percents": {c.task: c.percent for c in changes}}
             )
@@ -229,6 +253,8 @@
                         extra={"epoch": message.epoch, "address": message.address},
                     )
                     self._report_due.set()
+            case AppendAnswer():
+                logger.warning("message refused", extra={"message_kind": "answer"})
 
     def _take_orders(self, message: HostOrders) -> None:
         with self._lock:
@@ -268,8 +294,13 @@
                 reason = "draining" if draining else "no authority"
                 self._refuse(run, "session is over" if over else reason)
                 return
-            match self._runner.start(order, deadline, token):
+            began = self._clock.boottime()
+            started = self._runner.start(order, deadline, token)
+            took = self._clock.boottime() - began
+            self._metrics.runner_seconds.add({}, took.total_seconds())
+            match started:
                 case Success(Started(clock, "")):
+                    self._count_call("start", None)
                     with self._lock:
                         self._state.mark_started(run, clock)
                     logger.info("run started", extra={"task": run.task, "run": run.run})
@@ -280,6 +311,7 @@
                     self._refuse(run, refusal)
                     return
                 case Failure(problem):
+                    self._count_call("start", problem)
                     if problem.kind is ErrorKind.UNREACHABLE:
                         self._refuse(run, "unreachable")
                     else:
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -21,11 +21,15 @@
     Election,
     Membership,
 )
-from egretcrank.controller.link import AgentLink, announce_leader
+from egretcrank.controller.link import PeerLink, announce_leader
 from egretcrank.controller.service import JobService
+from egretcrank.controller.submissions import Submissions
 from egretcrank.controller.tail import Tail
 from egretcrank.entry.server import build_http_server
 from egretcrank.errors.kinds import ErrorKind
+from egretcrank.observability.exposition import MetricsServer
+from egretcrank.observability.logs import flush_logs
+from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.ingress import Ingress
 from egretcrank.platform.manifest import (
     CONFIGURATION_KEY,
@@ -34,7 +38,7 @@
     parse_manifest,
 )
 from egretcrank.platform.readiness import ReadinessServer
-from egretcrank.platform.store import Store, encode_keyed
+from egretcrank.platform.store import Appended, Store, encode_keyed
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.records import (
     LeaderRecord,
@@ -57,7 +61,10 @@
 GRACE_MARGIN = timedelta(milliseconds=1400)
 LAST_MARGIN = timedelta(milliseconds=600)
 LAST_CHECK = timedelta(milliseconds=20)
+FENCE_PAUSE = timedelta(milliseconds=100)
 CATCH_UP_TIMEOUT = timedelta(seconds=5)
+# Records that only a leader writes.
+LEADER_KINDS = (RecordKind.PROGRESS, RecordKind.HOST, RecordKind.LEADER)
 LEADER_KEY = RecordKey(RecordKind.LEADER, str(CELL))
 # A signal is noticed between two waits of the main thread.
 SIGNAL_CHECK = timedelta(milliseconds=200)
@@ -72,14 +79,17 @@
         self._settings = settings
         self._clock = clock
         self._lock = threading.Condition()
+        self._metrics = Metrics()
         self._store = Store(settings.store.address)
         self._table = JobTable()
         self._cell: Cell | None = None
         self._committer: Committer | None = None
         self._stopping = threading.Event()
         self._decision_due = False
+        # Epoch under which this controller is about to lead, 0 for none.
+        self._wanted_epoch = 0
         member = build_member(settings.host.peer_address, find_fitness(settings.limits))
-        self._election = Election(self._store, member)
+        self._election = Election(self._store, member, clock)
         self._jobs_tail = Tail(self._store, JOBS_TOPIC, CELL, clock, self._take_records)
         self._operator_tail = Tail(
             self._store,
@@ -88,10 +98,18 @@
             clock,
             self._take_operator_records,
         )
-        self._service = JobService(self._store, clock, self._table, self._jobs_tail)
-        self._ingress = Ingress(self._service, clock)
-        self._link = AgentLink(
-            settings.host.peer_address, settings.host.name, self._take_report
+        self._submissions = Submissions(
+            settings.host.name, settings.host.peer_address, clock
+        )
+        self._service = JobService(
+            self._store, clock, self._table, self._jobs_tail, self._submissions
+        )
+        self._ingress = Ingress(self._service, clock, self._metrics)
+        self._link = PeerLink(
+            settings.host.peer_address,
+            settings.host.name,
+            self._take_report,
+            self._submissions.take_request,
         )
         self._http = build_http_server(
             EntrySettings(
@@ -104,6 +122,14 @@
             settings.callers.ready_address, self._is_ready
         )
 
+    def _render_metrics(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        with self._lock:
+            cell = self._cell
+            self._metrics.leader_epoch.set({}, cell.epoch if cell else 0)
+            if cell is not None:
+                cell.update_gauges()
+        return self._metrics.render(accept)
+
     def run(self) -> None:
         """Run until SIGTERM."""
         signal.signal(signal.SIGTERM, lambda *_: self._stopping.set())
@@ -119,6 +145,7 @@
             self._http.serve,
         ):
             start_loop(target.__qualname__, target)
+        MetricsServer(self._settings.host.metrics_address, self._render_metrics)
         logger.info("started", extra={"fitness": find_fitness(self._settings.limits)})
         while not self._stopping.wait(SIGNAL_CHECK.total_seconds()):
             pass
@@ -137,6 +164,7 @@
         ):
             time.sleep(LAST_CHECK.total_seconds())
         logger.info("stopped", extra={"in_flight": self._ingress.in_flight})
+        flush_logs()
         os._exit(0)
 
     def _sleep_until(self, at: timedelta) -> None:
@@ -163,12 +191,15 @@
         with self._lock:
             for stored in records:
                 key = self._table.fold(stored)
+                if key is not None and key.kind in LEADER_KINDS:
+                    self._submissions.note_leader_record()
                 if key is None or self._cell is None:
                     continue
                 if key.kind in (RecordKind.JOB, RecordKind.CANCELLATION):
                     self._cell.fold_job(key.name)
             if self._cell is not None:
                 self._wake()
+        self._submissions.follow(self._table.leader.address)
 
     def _take_operator_records(self, records: tuple[StoredValue, ...]) -> None:
         for stored in records:
@@ -214,43 +245,79 @@
             self._stopping.wait(JOIN_INTERVAL.total_seconds())
 
     def _take_membership(self, membership: Membership) -> None:
-        if membership.leads and self._cell is None:
-            self._lead(membership.epoch)
-        elif not membership.leads and self._cell is not None:
-            self._resign("another controller is to lead")
+        with self._lock:
+            leads = self._cell is not None
+            begins = membership.leads and not leads and not self._wanted_epoch
+            if begins:
+                self._wanted_epoch = membership.epoch
+        if begins:
+            # Joining goes on meanwhile: a membership lapses within a second.
+            epoch = membership.epoch
+            start_loop("takeover", partial(self._take_over, epoch))
+        elif not membership.leads:
+            self._wanted_epoch = 0
+            if leads:
+                self._resign("another controller is to lead")
+
+    def _take_over(self, epoch: int) -> None:
+        try:
+            self._lead(epoch)
+        finally:
+            with self._lock:
+                if self._wanted_epoch == epoch:
+                    self._wanted_epoch = 0
+
+    def _fence(self, appender: Appender) -> Appended | None:
+        """Append the leader's record until it is there, or another one is to lead."""
+        address = self._settings.host.peer_address
+        record = encode_keyed(
+            LEADER_KEY.format(), encode_record(LeaderRecord(appender.epoch, address))
+        )
+        while self._wanted_epoch == appender.epoch:
+            match appender.append([record]):
+                case Success(Appended() as appended):
+                    return appended
+                case Failure(problem):
+                    logger.warning("fence failed", extra={"detail": problem.detail})
+                    if problem.kind is ErrorKind.STALE_EPOCH:
+                        self._election.leave()
+                        return None
+            time.sleep(FENCE_PAUSE.total_seconds())
+        return None
 
     def _lead(self, epoch: int) -> None:
         """Fence former leaders, catch up with the log, and open the cell."""
         if self._jobs_tail.position < 0:
             return
-        address = self._settings.host.peer_address
         appender = Appender(self._store, self._clock, epoch)
-        record = encode_keyed(
-            LEADER_KEY.format(), encode_record(LeaderRecord(epoch, address))
-        )
-        match appender.append([record]):
-            case Success(appended):
-                fence_offset, end = appended.offset, appended.end
-            case Failure(problem):
-                logger.warning("fence failed", extra={"detail": problem.detail})
-                if problem.kind is ErrorKind.STALE_EPOCH:
-                    self._election.leave()
-                return
+        appended = self._fence(appender)
+        if appended is None:
+            return
+        fence_offset, end = appended.offset, appended.end
         fenced_at = self._clock.boottime()
         if not self._jobs_tail.wait_for(end, CATCH_UP_TIMEOUT):
             logger.warning("the log could not be read to the fence")
+            # A second fence of the same epoch would get the answer of the first.
+            self._election.leave()
             return
         bounds = self._settings.bounds
         cell_settings = CellSettings(
             lease=bounds.lease, keep_ended=bounds.keep_ended_seconds
         )
         with self._lock:
-            cell = Cell(cell_settings, self._clock, self._table, epoch)
+            if self._wanted_epoch != epoch:
+                logger.info("takeover given up", extra={"epoch": epoch})
+                return
+            cell = Cell(cell_settings, self._clock, self._table, epoch, self._metrics)
             cell.catalog = self._service.catalog
             cell.open(fence_offset, fenced_at)
             cell.confirm(end, appender.proven_at)
             self._cell = cell
-            self._committer = Committer(cell, appender, self._lock, self._wake)
+            committer = Committer(
+                cell, appender, self._lock, self._wake, self._metrics, self._clock
+            )
+            self._committer = committer
+            self._submissions.lead(committer)
             self._wake()
         logger.info(
             "leading",
@@ -261,14 +328,16 @@
                 "hosts": len(cell.hosts),
             },
         )
-        start_loop("committer", self._committer.run)
+        start_loop("committer", committer.run)
         start_loop("announcements", partial(self._announce, cell))
 
     def _resign(self, reason: str) -> None:
         with self._lock:
             cell, committer = self._cell, self._committer
+            self._wanted_epoch = 0
             self._cell = None
             self._committer = None
+            self._submissions.lead(None)
         if committer is not None:
             committer.stop()
         if cell is not None:
@@ -314,6 +383,8 @@
                     next_tick = now + TICK
                 cell.plan()
                 orders = list(cell.take_orders())
+                took = self._clock.boottime() - now
+                self._metrics.decision_seconds.add({}, took.total_seconds())
                 commit = cell.has_changes or cell.confirmation_due
             if commit:
                 committer.wake()
--- a/src/egretcrank/controller/election.py
+++ b/src/egretcrank/controller/election.py
@@ -12,6 +12,7 @@
 from egretcrank.platform.store import (
     TOPIC_SLOTS,
     Appended,
+    Assignment,
     SlotOwner,
     Store,
     Writer,
@@ -31,6 +32,8 @@
 # in that time.
 MEMBERSHIP_TTL = timedelta(milliseconds=1000)
 JOIN_INTERVAL = timedelta(milliseconds=330)
+# Calls as slow as the last one that a membership outlasts beyond that.
+CALLS_OF_SLACK = 4
 
 logger = logging.getLogger(__name__)
 
@@ -45,13 +48,15 @@
 class Election:
     """Membership of one process in the group of controllers."""
 
-    def __init__(self, store: Store, member: str) -> None:
+    def __init__(self, store: Store, member: str, clock: Clock) -> None:
         self._store = store
         self._member = member
-        self._generation = 0
-        # Owners of the slots in a generation of the group.
+        self._clock = clock
+        self._assignment = Assignment(0, ())
+        # Owners of the slots, and the generation in which they were asked for.
         self._owners: tuple[SlotOwner, ...] = ()
         self._owners_of = -1
+        self._ttl = MEMBERSHIP_TTL
 
     def join(self, incumbent: str) -> Result[Membership, Problem]:
         """Stay in the group and learn whether this controller leads.
@@ -64,45 +69,43 @@
             .map(lambda _: self._judge(choose_leader(self._owners, incumbent)))
         )
 
-    def _join(self) -> Result[int, Problem]:
+    def _join(self) -> Result[Assignment, Problem]:
+        began = self._clock.boottime()
         reply = self._store.join(
-            GROUP, self._member, SLOT_TOPICS, MEMBERSHIP_TTL, self._generation
+            GROUP, self._member, SLOT_TOPICS, self._ttl, self._assignment.generation
         )
-        return reply.map(self._note_generation)
-
-    def _note_generation(self, generation: int) -> int:
-        self._generation = generation
-        return generation
-
-    def _learn_owners(self, generation: int) -> Result[int, Problem]:
-        """Learn who holds the slots, if that may have changed.
-
-        The list names no generation; it is of the one that is the same before and after
-        it, so that no two members take the same epoch.
-        """
-        if generation == self._owners_of:
-            return Success(generation)
-        return self._store.list_owners(GROUP, SLOT_TOPICS).bind(
-            lambda owners: self._join().bind(
-                lambda after: self._take_owners(owners, generation, after)
-            )
+        # A membership must outlast some joins, also while the log is slow.
+        took = self._clock.boottime() - began
+        self._ttl = MEMBERSHIP_TTL + CALLS_OF_SLACK * took
+        return reply.map(self._note_assignment)
+
+    def _note_assignment(self, assignment: Assignment) -> Assignment:
+        self._assignment = assignment
+        return assignment
+
+    def _learn_owners(self, assignment: Assignment) -> Result[None, Problem]:
+        """Learn who holds the slots, if that may have changed."""
+        if assignment.generation == self._owners_of:
+            return Success(None)
+        return self._store.list_owners(GROUP, SLOT_TOPICS).map(
+            lambda owners: self._take_owners(owners, assignment.generation)
         )
 
-    def _take_owners(
-        self, owners: tuple[SlotOwner, ...], before: int, after: int
-    ) -> Result[int, Problem]:
-        if before != after:
-            return Failure(
-                Problem(ErrorKind.STALE_EPOCH, "the group changes", "group", str(after))
-            )
-        self._owners, self._owners_of = owners, after
-        return Success(after)
+    def _take_owners(self, owners: tuple[SlotOwner, ...], generation: int) -> None:
+        self._owners, self._owners_of = owners, generation
 
     def _judge(self, leader: Candidate | None) -> Membership:
-        if leader is None or leader.member != self._member:
+        """Tell what follows from the owners.
+
+        They may be of a later generation than the slots, so that two members may take
+        themselves for the leader. The epoch is made of the slots, which no other member
+        holds in their generation: one of the two is fenced.
+        """
+        slots = self._assignment.slots
+        if leader is None or leader.member != self._member or not slots:
             return Membership(0, False)
-        epoch = self._owners_of * EPOCHS_PER_GENERATION + leader.slot
-        return Membership(epoch, True)
+        generation = self._assignment.generation
+        return Membership(generation * EPOCHS_PER_GENERATION + min(slots), True)
 
     def leave(self) -> None:
         """Leave the group at once."""
--- a/src/egretcrank/controller/link.py
+++ b/src/egretcrank/controller/link.py
@@ -1,14 +1,15 @@
-"""Connections of a controller to the agents of its hosts."""
+"""Connections of a controller to the agents of its hosts and to other controllers."""
 
 import logging
 import time
 from collections.abc import Callable
+from functools import partial
 
 import pynng
 from returns.result import Failure, Success
 
 from egretcrank.wire.codec import Delivery, decode, encode
-from egretcrank.wire.hosting import HostReport
+from egretcrank.wire.hosting import AppendAnswer, AppendRequest, HostReport
 from egretcrank.wire.messages import Message
 
 RECEIVE_TIMEOUT_MILLISECONDS = 500
@@ -16,17 +17,28 @@
 SEND_LINGER_SECONDS = 0.05
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
+# Called with whether a record is on the log.
+Answer = Callable[[bool], None]
+
 logger = logging.getLogger(__name__)
 
 
-class AgentLink:
-    """Listens for agents; each host is answered over its newest connection."""
+class PeerLink:
+    """Listens for agents and other controllers.
+
+    Each host is answered over its newest connection, each other request over its own.
+    """
 
     def __init__(
-        self, address: str, name: str, take: Callable[[HostReport], None]
+        self,
+        address: str,
+        name: str,
+        take: Callable[[HostReport], None],
+        append: Callable[[AppendRequest, Answer], None],
     ) -> None:
         self._name = name
         self._take = take
+        self._append = append
         self._socket = pynng.Pair1(
             polyamorous=True,
             send_timeout=SEND_TIMEOUT_MILLISECONDS,
@@ -53,6 +65,10 @@
                 case Success(Delivery(HostReport() as report)):
                     self._pipes[report.host] = message.pipe
                     self._take(report)
+                case Success(Delivery(AppendRequest() as request)):
+                    self._append(
+                        request, partial(self._answer, message.pipe, request.number)
+                    )
                 case Success(Delivery(other)):
                     kind = type(other).__name__
                     logger.warning("message refused", extra={"message_kind": kind})
@@ -70,6 +86,12 @@
             self._pipes.pop(host, None)
             logger.warning("send failed", extra={"host": host, "error": str(error)})
 
+    def _answer(self, pipe: pynng.Pipe, number: int, stored: bool) -> None:
+        try:
+            pipe.send(encode(AppendAnswer(number, stored), "", self._name))
+        except pynng.NNGException as error:
+            logger.info("answer was not sent", extra={"error": str(error)})
+
     def close(self) -> None:
         """Close all connections."""
         self._closed = True
--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -9,6 +9,7 @@
 
 from egretcrank.clock import Clock
 from egretcrank.controller.election import CELL, JOBS_TOPIC
+from egretcrank.controller.submissions import Submissions
 from egretcrank.controller.tail import Tail
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.store import Store, encode_keyed
@@ -30,6 +31,9 @@
 FRESH = timedelta(milliseconds=2500)
 # Longest wait for one append, and the pause before it is tried again.
 APPEND_TIMEOUT = timedelta(milliseconds=700)
+# Share of a caller's time in which a record waits for a leader; the rest is for an
+# append by this controller.
+HOLD_SHARE = 0.5
 APPEND_PAUSE = timedelta(milliseconds=100)
 # Left of the caller's time for the answer to arrive.
 ANSWER_MARGIN = timedelta(milliseconds=150)
@@ -48,8 +52,16 @@
 class JobService:
     """Answers callers from the folded log, and appends what they ask for."""
 
-    def __init__(self, store: Store, clock: Clock, table: JobTable, tail: Tail) -> None:
+    def __init__(
+        self,
+        store: Store,
+        clock: Clock,
+        table: JobTable,
+        tail: Tail,
+        submissions: Submissions,
+    ) -> None:
         self._store = store
+        self._submissions = submissions
         self._clock = clock
         self._table = table
         self._tail = tail
@@ -166,9 +178,19 @@
     def _append(
         self, key: RecordKey, value: bytes, limit: timedelta
     ) -> Result[None, Problem]:
-        record = encode_keyed(key.format(), value)
+        """Append a record by the leader, or else by a call of this controller.
+
+        Callers' records are idempotent, so that both may take effect.
+        """
         until = self._clock.boottime() + limit - ANSWER_MARGIN
         doubt: Problem | None = None
+        match self._submissions.submit(key.format(), value, limit * HOLD_SHARE):
+            case Success(_):
+                return Success(None)
+            case Failure(problem):
+                if problem.kind is ErrorKind.CALL_TIMEOUT:
+                    doubt = problem
+        record = encode_keyed(key.format(), value)
         while True:
             left = until - self._clock.boottime()
             timeout = min(APPEND_TIMEOUT, max(left, APPEND_PAUSE))
--- a/src/egretcrank/platform/ingress.py
+++ b/src/egretcrank/platform/ingress.py
@@ -14,6 +14,7 @@
 from egretcrank.controller.service import JobService, JobState
 from egretcrank.errors.answers import ANSWERS, build_error_body
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.calls import decode_body
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.definitions import JobDefinition, Step
@@ -74,9 +75,10 @@
 class Ingress:
     """Reads callers' requests and writes the answers of the job service."""
 
-    def __init__(self, service: JobService, clock: Clock) -> None:
+    def __init__(self, service: JobService, clock: Clock, metrics: Metrics) -> None:
         self._service = service
         self._clock = clock
+        self._metrics = metrics
         self.closing = False
         self._count_lock = threading.Lock()
         self.in_flight = 0
@@ -94,11 +96,18 @@
             self.in_flight += change
 
     def _respond(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        method = environ.get("REQUEST_METHOD", "")
+        began = self._clock.boottime()
         try:
             answer = self._answer(environ)
         except Exception:
             logger.exception("request failed", extra={"path": environ.get("PATH_INFO")})
             answer = _build_error(Problem(ErrorKind.INTERNAL, "request failed"))
+        took = self._clock.boottime() - began
+        self._metrics.caller_seconds.add({"method": method}, took.total_seconds())
+        self._metrics.request_calls.inc(
+            {"method": method, "status": str(int(answer.status))}
+        )
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(answer.body))),
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -18,6 +18,8 @@
 # The store answers in about 4 ms; sixty times that was seen while it was slow.
 CALL_TIMEOUT = timedelta(seconds=1)
 READ_MARGIN = timedelta(milliseconds=700)
+# A page of newest records holds up to 1 MB.
+PAGE_TIMEOUT = timedelta(seconds=3)
 CONNECTIONS = 8
 # Slots that each topic of a group may have; the platform gives a topic 8 partitions.
 TOPIC_SLOTS = 64
@@ -48,6 +50,13 @@
     records: tuple[StoredValue, ...]
 
 
+class Assignment(NamedTuple):
+    """Slots of a member in a generation, which grows with each change of the group."""
+
+    generation: int
+    slots: tuple[int, ...]
+
+
 class SlotOwner(NamedTuple):
     """A slot of a group, and the member that holds it.
 
@@ -79,6 +88,8 @@
 
 class _JoinReply(msgspec.Struct):
     generation: int
+    # Rows of topic, partition and committed offset.
+    parts: list[tuple[str, int, int]] = []
 
 
 class _OwnersReply(msgspec.Struct):
@@ -138,7 +149,7 @@
         url = f"/-/log-newest?topic={topic}&part={partition}"
         following = url
         while True:
-            reply = self._caller.call("GET", following, None, CALL_TIMEOUT)
+            reply = self._caller.call("GET", following, None, PAGE_TIMEOUT)
             match reply.bind(_read_newest):
                 case Success(page):
                     records.extend(_decode_items(page.items))
@@ -157,10 +168,8 @@
         topics: Sequence[str],
         ttl: timedelta,
         generation: int,
-    ) -> Result[int, Problem]:
-        """Join a group, or stay in it; return its generation, which grows with each
-        change of its members or slots.
-        """
+    ) -> Result[Assignment, Problem]:
+        """Join a group, or stay in it, and learn the slots of the member."""
         body = {
             "group": group,
             "member": member,
@@ -170,7 +179,14 @@
         }
         reply = self._post("/-/log-join", body)
         return reply.bind(lambda r: decode_body(r.body, _JoinReply)).map(
-            lambda joined: joined.generation
+            lambda joined: Assignment(
+                joined.generation,
+                tuple(
+                    _number_slot(topics, topic, partition)
+                    for topic, partition, _ in joined.parts
+                    if topic in topics
+                ),
+            )
         )
 
     def leave(self, group: str, member: str) -> Result[Reply, Problem]:
@@ -185,7 +201,7 @@
         reply = self._caller.call("GET", url, None, CALL_TIMEOUT).bind(_require_ok)
         return reply.bind(lambda r: decode_body(r.body, _OwnersReply)).map(
             lambda owners: tuple(
-                SlotOwner(topics.index(topic) * TOPIC_SLOTS + partition, member)
+                SlotOwner(_number_slot(topics, topic, partition), member)
                 for topic, partition, member, _ in owners.parts
                 if topic in topics
             )
@@ -200,6 +216,10 @@
         self._caller.close()
 
 
+def _number_slot(topics: Sequence[str], topic: str, partition: int) -> int:
+    return topics.index(topic) * TOPIC_SLOTS + partition
+
+
 def _require_ok(reply: Reply) -> Result[Reply, Problem]:
     if reply.status == 200:
         return Success(reply)
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -10,6 +10,7 @@
 from datetime import timedelta
 
 from egretcrank.clock import Clock
+from egretcrank.observability.metrics import Metrics
 from egretcrank.policy.sharing import PressureTable
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.changes import ChangeCollector, Changes
@@ -59,9 +60,15 @@
     """State of the cell under one epoch of leadership."""
 
     def __init__(
-        self, settings: CellSettings, clock: Clock, table: JobTable, epoch: int
+        self,
+        settings: CellSettings,
+        clock: Clock,
+        table: JobTable,
+        epoch: int,
+        metrics: Metrics,
     ) -> None:
         self._settings = settings
+        self._metrics = metrics
         self._clock = clock
         self._table = table
         self.epoch = epoch
@@ -71,7 +78,7 @@
         self._open_jobs: dict[str, Job] = {}
         self._highest_offset = -1
         self.hosts: dict[str, HostState] = {}
-        self._runs = Runs(self.hosts, clock)
+        self._runs = Runs(self.hosts, clock, metrics)
         self._pressures = PressureTable()
         self._changes = ChangeCollector()
         self._planner = Planner(
@@ -353,6 +360,8 @@
         if job.phase is Phase.QUEUED:
             job.phase = Phase.RUNNING
             self._changes.note_job(job.job_id)
+            waited = self._clock.now() - job.definition.submitted_at
+            self._metrics.first_start_seconds.add({}, max(0.0, waited.total_seconds()))
 
     def _take_refusal(self, host: HostState, refused: RefusedStart) -> None:
         key = parse_task_key(refused.task)
@@ -423,6 +432,13 @@
 
     # Time
 
+    def update_gauges(self) -> None:
+        """Set the gauges to what the cell believes now."""
+        attached = sum(host.attached for host in self.hosts.values())
+        self._metrics.hosts.set({"state": "attached"}, attached)
+        self._metrics.hosts.set({"state": "missing"}, len(self.hosts) - attached)
+        self._metrics.open_jobs.set({}, len(self._open_jobs))
+
     def pass_time(self) -> None:
         """Apply what follows from time alone."""
         now = self._clock.boottime()
--- a/src/egretcrank/scheduling/runs.py
+++ b/src/egretcrank/scheduling/runs.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator, Mapping
 
 from egretcrank.clock import Clock
+from egretcrank.observability.metrics import Metrics
 from egretcrank.scheduling.definitions import TaskKey
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.tasks import Placement, RunPhase, StepState
@@ -15,9 +16,12 @@
 class Runs:
     """The run of each task, with what it reserves on its host."""
 
-    def __init__(self, hosts: Mapping[str, HostState], clock: Clock) -> None:
+    def __init__(
+        self, hosts: Mapping[str, HostState], clock: Clock, metrics: Metrics
+    ) -> None:
         self._hosts = hosts
         self._clock = clock
+        self._metrics = metrics
         self._placements: dict[TaskKey, Placement] = {}
 
     def __iter__(self) -> Iterator[Placement]:
@@ -44,6 +48,7 @@
         step.job.idle_since = None
         host.tasks.add(key)
         host.reserve(step.step)
+        self._metrics.runs.inc({"event": "placed"})
         return placement
 
     def release(self, placement: Placement, reason: str) -> None:
@@ -60,6 +65,7 @@
         host.reserve(step.step, -1)
         if not step.tasks[key.position].done and not step.job.phase.final:
             step.waiting.add(key.position)
+        self._metrics.runs.inc({"event": reason})
         logger.info(
             "run ended",
             extra={
--- a/src/egretcrank/settings/platform.py
+++ b/src/egretcrank/settings/platform.py
@@ -29,6 +29,13 @@
         maximum=65535,
         required=True,
     )
+    metrics_port: int = setting(
+        Kind.INTEGER,
+        "Port of the metrics, on the host's IP number.",
+        9180,
+        minimum=1,
+        maximum=65535,
+    )
     log_level: str = setting(Kind.TEXT, "Lowest level that is logged.", "INFO")
 
     @property
@@ -39,7 +46,7 @@
     @property
     def metrics_address(self) -> str:
         """Return the address of the metrics."""
-        return f"{self.ip}:{self.first_port + 1}"
+        return f"{self.ip}:{self.metrics_port}"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/egretcrank/transport/leader.py
+++ b/src/egretcrank/transport/leader.py
@@ -1,4 +1,4 @@
-"""Connection of an agent to the controller that leads its cell."""
+"""Connections of agents and controllers to the controller that leads the cell."""
 
 import logging
 import threading
@@ -8,7 +8,8 @@
 from returns.result import Failure, Success
 
 from egretcrank.wire.codec import Delivery, decode, encode
-from egretcrank.wire.hosting import HostOrders, HostReport, LeaderMoved
+from egretcrank.wire.hosting import AppendAnswer, HostOrders, LeaderMoved
+from egretcrank.wire.messages import Message
 
 RECEIVE_TIMEOUT_MILLISECONDS = 500
 SEND_TIMEOUT_MILLISECONDS = 100
@@ -16,7 +17,7 @@
 
 logger = logging.getLogger(__name__)
 
-LeaderMessage = HostOrders | LeaderMoved
+LeaderMessage = HostOrders | LeaderMoved | AppendAnswer
 
 
 class LeaderLink:
@@ -44,14 +45,16 @@
             target=receive_messages, args=(socket, self._take), daemon=True
         ).start()
 
-    def send(self, report: HostReport) -> None:
-        """Send a report; a lost one is replaced by the next."""
+    def send(self, message: Message) -> bool:
+        """Send a message; tell whether it may have arrived."""
         if self._socket is None:
-            return
+            return False
         try:
-            self._socket.send(encode(report, "", self._name))
+            self._socket.send(encode(message, "", self._name))
         except pynng.NNGException as error:
-            logger.debug("report was not sent", extra={"error": str(error)})
+            logger.debug("message was not sent", extra={"error": str(error)})
+            return False
+        return True
 
     def close(self) -> None:
         """Close the connection."""
@@ -90,7 +93,9 @@
             logger.warning("receive failed", extra={"error": str(error)})
             continue
         match decode(data):
-            case Success(Delivery(HostOrders() | LeaderMoved() as message)):
+            case Success(
+                Delivery(HostOrders() | LeaderMoved() | AppendAnswer() as message)
+            ):
                 take(message)
             case Success(Delivery(other)):
                 kind = type(other).__name__
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -189,3 +189,26 @@
 
     epoch: int = 0
     address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRequest:
+    """Ask the leader to append a record of a caller with its own, under its epoch.
+
+    The record may be appended more than once: records of jobs are idempotent.
+    """
+
+    number: int = 0
+    key: str = ""
+    value: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class AppendAnswer:
+    """Tell whether the record of request ``number`` is on the log.
+
+    If not, the leader is about to resign and the record may still get there.
+    """
+
+    number: int = 0
+    stored: bool = False
--- a/src/egretcrank/wire/messages.py
+++ b/src/egretcrank/wire/messages.py
@@ -9,7 +9,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from egretcrank.wire.hosting import HostOrders, HostReport, LeaderMoved
+from egretcrank.wire.hosting import (
+    AppendAnswer,
+    AppendRequest,
+    HostOrders,
+    HostReport,
+    LeaderMoved,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -470,4 +476,6 @@
     | HostReport
     | HostOrders
     | LeaderMoved
+    | AppendRequest
+    | AppendAnswer
 )
