Add a fault soak of the platform's daemons as real processes

What it is: three controllers and four agents as processes, beside stand-ins of the platform's log and runners that speak its published protocol.

Also: lines of a log are written in pieces that a pipe takes whole.

--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the daemons of the platform as real processes."""
--- /dev/null
+++ b/bench/soak/processes.py
@@ -0,0 +1,176 @@
+"""A small site: the daemons as processes, with the platform's stand-ins beside them."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import IO
+
+import msgspec
+
+from bench.addresses import find_address
+from bench.standins.platform_runner import Observer, PlatformRunner
+from bench.standins.platform_store import PlatformStore
+
+PYTHON = (sys.executable, "-m")
+FORWARDER = "bench.standins.forwarder"
+CONTROLLERS = 3
+HOSTS = 4
+CPU = 4000
+QUEUE_PATH = "/q/"
+QUEUE_HOST = "q.example"
+READY_SECONDS = 20.0
+STOP_SECONDS = 10.0
+
+MANIFEST = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "q",
+            "host": QUEUE_HOST,
+            "path_prefix": QUEUE_PATH,
+            "service": "s",
+            "max_attempts": 3,
+            "stretch": 2.0,
+        }
+    ],
+    "services": [{"name": "s"}],
+}
+
+HOST_SECTIONS = """
+[host]
+name = {name}
+failure_domain = z
+ip = 127.0.0.1
+first_port = {peer}
+metrics_port = {metrics}
+[store]
+address = {store}
+[bounds]
+lease_milliseconds = 6000
+keep_ended_seconds = 600
+grace_seconds = 6
+harm_milliseconds = 4000
+"""
+
+
+class Daemon:
+    """One daemon process that can be ended and started again."""
+
+    def __init__(self, role: str, name: str, settings: str, folder: Path) -> None:
+        self.name = name
+        self.callers_address = ""
+        self._role = role
+        self._settings = folder / f"{name}.ini"
+        self._settings.write_text(settings)
+        self._output: IO[bytes] = (folder / f"{name}.log").open("ab")
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self._process is not None and self._process.poll() is None:
+            return
+        self._process = subprocess.Popen(
+            [*PYTHON, "egretcrank", self._role, "--settings", str(self._settings)],
+            stdout=self._output,
+            stderr=self._output,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self._process is not None and self._process.poll() is None:
+            os.kill(self._process.pid, number)
+
+    def end(self, number: signal.Signals = signal.SIGKILL) -> None:
+        """End the process and wait for it."""
+        self.send(number)
+        if self._process is not None:
+            try:
+                self._process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                self._process.kill()
+                self._process.wait()
+
+    def close(self) -> None:
+        """End the process for good."""
+        self.send(signal.SIGCONT)
+        self.end()
+        self._output.close()
+
+
+class Site:
+    """Controllers, agents, runners and the log, with a link from each to the log."""
+
+    def __init__(self, seed: int, folder: Path) -> None:
+        self.observer = Observer()
+        self._store_address = find_address()
+        self.store = PlatformStore(self._store_address, seed)
+        self.store.put("keyed.op", "config", msgspec.json.encode(MANIFEST))
+        self._folder = folder
+        self.links = {
+            f"{kind}{number}": find_address()
+            for kind, count in (("controller", CONTROLLERS), ("agent", HOSTS))
+            for number in range(count)
+        }
+        self.forwarder_control = find_address()
+        self.controllers = [self._build_controller(n) for n in range(CONTROLLERS)]
+        self.runners: list[PlatformRunner] = []
+        self.agents = [self._build_agent(n) for n in range(HOSTS)]
+
+    def _build_controller(self, number: int) -> Daemon:
+        name = f"controller{number}"
+        callers = find_address()
+        settings = self._render_host(name)
+        settings += f"[callers]\nhttp_address = {callers}\n"
+        settings += f"ready_address = {find_address()}\n"
+        settings += "[limits]\nprocessor_share = 1\nprocessors = 1\n"
+        daemon = Daemon("controller", name, settings, self._folder)
+        daemon.callers_address = callers
+        return daemon
+
+    def _build_agent(self, number: int) -> Daemon:
+        name = f"agent{number}"
+        control, address = find_address(), find_address()
+        runner = PlatformRunner(f"r{number}", address, control, CPU, self.observer)
+        self.runners.append(runner)
+        settings = self._render_host(name)
+        settings += f"[runner]\naddress = {address}\nheartbeat_address = {control}\n"
+        return Daemon("agent", name, settings, self._folder)
+
+    def _render_host(self, name: str) -> str:
+        return HOST_SECTIONS.format(
+            name=name,
+            peer=find_address().rpartition(":")[2],
+            metrics=find_address().rpartition(":")[2],
+            store=self.links[name],
+        )
+
+    @property
+    def daemons(self) -> list[Daemon]:
+        """Return all processes of the system."""
+        return [*self.controllers, *self.agents]
+
+    def start(self) -> None:
+        """Start everything and wait until controllers answer."""
+        self.store.start()
+        links = [f"--link={near}={self._store_address}" for near in self.links.values()]
+        self._forwarder = subprocess.Popen(
+            [*PYTHON, FORWARDER, "--control", self.forwarder_control, *links]
+        )
+        for runner in self.runners:
+            runner.start()
+        for daemon in self.daemons:
+            daemon.start()
+        time.sleep(1.0)
+
+    def stop(self) -> None:
+        """End everything that was started here."""
+        for daemon in self.daemons:
+            daemon.close()
+        self._forwarder.kill()
+        self._forwarder.wait()
+        for runner in self.runners:
+            runner.stop()
+        self.store.stop()
--- a/src/egretcrank/observability/logs.py
+++ b/src/egretcrank/observability/logs.py
@@ -8,6 +8,7 @@
 import sys
 import threading
 from collections import deque
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
 from typing import TextIO
 
@@ -22,6 +23,8 @@
 MAX_LINES_PER_SECOND = 1000
 # Lines are written together: each write costs a system call and a turn of the thread.
 WRITE_INTERVAL = timedelta(milliseconds=50)
+# Bytes up to which a write to a pipe is not mixed with that of another process.
+MAX_WRITE_BYTES = 4096
 # Longest wait for the last lines when the process ends.
 LAST_WRITE_TIMEOUT = timedelta(milliseconds=200)
 SECOND = timedelta(seconds=1)
@@ -76,8 +79,8 @@
             if self._left_out:
                 left_out, self._left_out = self._left_out, 0
                 lines.append(self.format(_build_count(left_out)))
-            if lines:
-                self._stream.write("\n".join(lines) + "\n")
+            for group in _group_lines(lines):
+                self._stream.write(group)
                 self._stream.flush()
 
     def flush(self) -> None:
@@ -87,6 +90,18 @@
         thread.join(LAST_WRITE_TIMEOUT.total_seconds())
 
 
+def _group_lines(lines: Iterable[str]) -> Iterator[str]:
+    """Join lines for writes that a pipe takes whole."""
+    group = ""
+    for line in lines:
+        if group and len(group) + len(line) >= MAX_WRITE_BYTES:
+            yield group
+            group = ""
+        group += line + "\n"
+    if group:
+        yield group
+
+
 def _build_count(left_out: int) -> logging.LogRecord:
     record = logging.LogRecord(
         __name__, logging.WARNING, __file__, 0, "log lines left out", (), None
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -24,6 +24,18 @@
         return super().write(text)
 
 
+class RecordingStream(io.StringIO):
+    """Stream that keeps its writes apart."""
+
+    def __init__(self):
+        super().__init__()
+        self.writes: list[str] = []
+
+    def write(self, text):
+        self.writes.append(text)
+        return len(text)
+
+
 class LogTests(AsyncTestCase):
     """Volume and waiting."""
 
@@ -48,6 +60,19 @@
         self.assertEqual(len(lines), logs.MAX_LINES_PER_SECOND + 1)
         self.assertEqual(lines[-1], {"message": "log lines left out", "lines": 7})
 
+    def test_a_write_holds_whole_lines_that_a_pipe_takes_at_once(self):
+        """Guards against lines that are cut or mixed with those of other processes."""
+        stream = RecordingStream()
+        handler, logger = self._build(stream)
+        for number in range(500):
+            logger.info("line %d", number)
+        handler.write_waiting()
+        self.assertLessEqual(
+            max(len(text) for text in stream.writes), logs.MAX_WRITE_BYTES
+        )
+        self.assertTrue(all(text.endswith("}\n") for text in stream.writes))
+        self.assertEqual(len("".join(stream.writes).splitlines()), 500)
+
     def test_warnings_are_kept_beyond_the_rate(self):
         """Guards against losing the line that tells why."""
         stream = io.StringIO()
