Serve callers on 32 threads, and end a soak's processes with it

A record may now wait for the next leader for half of its caller's time. Twelve threads would be taken by eight jobs a second in that time, and requests for states would wait behind them. Reckoned from the rates of the sites, not measured.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -6,6 +6,7 @@
 
 import argparse
 import json
+import signal
 import sys
 import tempfile
 from pathlib import Path
@@ -45,6 +46,8 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     options = parser.parse_args()
+    # The processes of the site end with this one, also when it is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     folder = Path(tempfile.mkdtemp(prefix=f"egretcrank-soak-{options.seed}-"))
     report = play(options.seed, options.seconds, folder)
     print(json.dumps(report))
--- a/src/egretcrank/settings/platform.py
+++ b/src/egretcrank/settings/platform.py
@@ -97,7 +97,7 @@
         Kind.ADDRESS, "Address of the readiness check.", "", required=True
     )
     threads: int = setting(
-        Kind.INTEGER, "Threads that serve HTTP.", 12, minimum=1, maximum=1024
+        Kind.INTEGER, "Threads that serve HTTP.", 32, minimum=1, maximum=1024
     )
 
 
