Count each failed run once, in whatever order a new leader hears of it

The leader was cut off from the log at 17.5 s, so that the ends of runs 1 to 3 were on no log. The next leader heard of them from three hosts as these attached, in any order, and counted an end as a failure only if its run was higher than the last: run 3 first made 1 and 2 count for nothing.

Change: a task keeps the numbers of its failed runs, on the log too.

Test: fails before the change (1 failure of 3).

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -411,11 +411,11 @@
             task.checkpoint = ended.checkpoint
         if ended.how == "done" and not step.step.lasting:
             step.mark_done(index)
+        if ended.how == "failed":
+            task.failed_runs.add(ended.run)
         if ended.run > task.ended_run:
             task.ended_run = ended.run
             task.run = max(task.run, ended.run)
-            if ended.how == "failed":
-                task.failures += 1
         self._changes.note_job(job.job_id)
 
     def _check_end(self, job: Job, step: StepState, task: Task) -> None:
--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -44,7 +44,7 @@
 
     highest_run: int = 0
     ended_run: int = 0
-    failures: int = 0
+    failed_runs: tuple[int, ...] = ()
     checkpoint: str = ""
 
 
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -63,15 +63,21 @@
 class Task:
     """What the cell knows of one task."""
 
-    __slots__ = ("checkpoint", "done", "ended_run", "failures", "run")
+    __slots__ = ("checkpoint", "done", "ended_run", "failed_runs", "run")
 
     def __init__(self) -> None:
         self.done = False
         self.run = 0
         self.ended_run = 0
-        self.failures = 0
+        # Each counts once, in whatever order a new leader hears of them.
+        self.failed_runs: set[int] = set()
         self.checkpoint = ""
 
+    @property
+    def failures(self) -> int:
+        """Return the number of runs that failed."""
+        return len(self.failed_runs)
+
 
 class StepState:
     """Tasks of one step of one occurrence."""
@@ -110,7 +116,7 @@
                 task = self.tasks[index]
                 task.run = task_record.highest_run
                 task.ended_run = task_record.ended_run
-                task.failures = task_record.failures
+                task.failed_runs = set(task_record.failed_runs)
                 task.checkpoint = task_record.checkpoint
         for index in range(min(len(self.tasks), len(record.done) * 8)):
             if record.done[index // 8] & (1 << (index % 8)):
@@ -125,7 +131,10 @@
                 bits[index // 8] |= 1 << (index % 8)
             elif task.ended_run or task.checkpoint:
                 exceptions[index] = TaskRecord(
-                    task.run, task.ended_run, task.failures, task.checkpoint
+                    task.run,
+                    task.ended_run,
+                    tuple(sorted(task.failed_runs)),
+                    task.checkpoint,
                 )
         return StepRecord(bytes(bits).rstrip(b"\0"), exceptions)
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -10,6 +10,7 @@
 from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.placement import choose_host
 from egretcrank.scheduling.records import Phase
+from egretcrank.scheduling.tasks import Job
 from egretcrank.wire.hosting import (
     EndedTask,
     HostOrders,
@@ -300,6 +301,28 @@
         self.assertTrue(state.settle(run, Look(5, 1, (), ended), born=1))
         self.assertFalse(state.settle(run, Look(5, 2, (), ended), born=1))
 
+    def test_failed_runs_count_in_any_order(self):
+        """Guards against a fourth run of a task that has three.
+
+        A leader was cut off from the log; the next one heard of the failed runs from
+        the hosts in another order than they had ended, and counted only the last.
+        """
+        world = World(23)
+        world.log.available = True
+        job_id = world.submit(build_step(width=1, label="missing"))
+        world.run(1)
+        cell = world.leader.cell
+        assert cell is not None
+        job = cell.jobs[job_id]
+        step = job.occurrences[0][0]
+        for number, run in enumerate((3, 1, 1, 2), 1):
+            ended = EndedTask(number, f"{job_id}.0.0.0", run, "failed", "")
+            cell._note_end(job, step, 0, ended)
+        self.assertEqual(step.tasks[0].failures, 3)
+        copy = Job(job.definition, 0)
+        copy.restore(job.describe())
+        self.assertEqual(copy.occurrences[0][0].tasks[0].failures, 3)
+
     def test_a_repetition_starts_when_it_is_due(self):
         """Guards against an occurrence before its time."""
         world = World(16)
