Read the failures that the release before recorded

Seen while reading the change again; no run showed it.

Change: the new field comes last; a record without it counts its failures as before.

Test: a record of the release before keeps its two failures (refused before).

--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -44,8 +44,10 @@
 
     highest_run: int = 0
     ended_run: int = 0
-    failed_runs: tuple[int, ...] = ()
+    # For the release before, which counts them only.
+    failures: int = 0
     checkpoint: str = ""
+    failed_runs: tuple[int, ...] = ()
 
 
 class StepRecord(NamedTuple):
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -116,7 +116,10 @@
                 task = self.tasks[index]
                 task.run = task_record.highest_run
                 task.ended_run = task_record.ended_run
-                task.failed_runs = set(task_record.failed_runs)
+                # The release before names no runs; its failures count all the same.
+                task.failed_runs = set(task_record.failed_runs) or set(
+                    range(-task_record.failures, 0)
+                )
                 task.checkpoint = task_record.checkpoint
         for index in range(min(len(self.tasks), len(record.done) * 8)):
             if record.done[index // 8] & (1 << (index % 8)):
@@ -133,8 +136,9 @@
                 exceptions[index] = TaskRecord(
                     task.run,
                     task.ended_run,
-                    tuple(sorted(task.failed_runs)),
+                    task.failures,
                     task.checkpoint,
+                    tuple(sorted(task.failed_runs)),
                 )
         return StepRecord(bytes(bits).rstrip(b"\0"), exceptions)
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -4,12 +4,14 @@
 from datetime import timedelta
 from unittest.mock import Mock, patch
 
+import msgspec
+
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.platform.runner import Look
 from egretcrank.scheduling import planner
 from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.placement import choose_host
-from egretcrank.scheduling.records import Phase
+from egretcrank.scheduling.records import Phase, StepRecord, TaskRecord
 from egretcrank.scheduling.tasks import Job
 from egretcrank.wire.hosting import (
     EndedTask,
@@ -323,6 +325,19 @@
         copy.restore(job.describe())
         self.assertEqual(copy.occurrences[0][0].tasks[0].failures, 3)
 
+    def test_failures_that_the_release_before_recorded_count(self):
+        """Guards against a budget that begins anew with an upgrade."""
+        old = msgspec.msgpack.encode([1, 2, 2, ""])
+        record = msgspec.msgpack.decode(old, type=TaskRecord)
+        world = World(24)
+        job_id = world.submit(build_step(width=1, label="missing"))
+        world.run(1)
+        cell = world.leader.cell
+        assert cell is not None
+        step = cell.jobs[job_id].occurrences[0][0]
+        step.restore(StepRecord(b"", {0: record}))
+        self.assertEqual(step.tasks[0].failures, 2)
+
     def test_a_repetition_starts_when_it_is_due(self):
         """Guards against an occurrence before its time."""
         world = World(16)
