Let the receiving thread alone close a connection to the leader

LeaderLink closed its socket on one thread while the receive of another one expired; nng 1.11 then locks the mutex of a queue that is gone.

Ruled out: refused, mute and full peers as the trigger (dialling and closing 4 threads for 10 s each showed nothing), a malformed frame, descriptors (66 open at most).

--- a/src/egretcrank/controller/link.py
+++ b/src/egretcrank/controller/link.py
@@ -55,14 +55,15 @@
         self._closed = False
 
     def run(self) -> None:
-        """Receive reports until closed."""
+        """Receive reports until closed, then close the socket.
+
+        Closing it on another thread while a receive expires aborts the process.
+        """
         while not self._closed:
             try:
                 message = self._socket.recv_msg()
             except pynng.Timeout:
                 continue
-            except pynng.Closed:
-                return
             except pynng.NNGException as error:
                 logger.warning("receive failed", extra={"error": str(error)})
                 continue
@@ -79,6 +80,7 @@
                     logger.warning("message refused", extra={"message_kind": kind})
                 case Failure(problem):
                     logger.warning("message refused", extra={"detail": problem.detail})
+        self._socket.close()
 
     def send(self, host: str, message: HostingMessage) -> None:
         """Send a message; a lost one is sent again with a later report."""
@@ -100,9 +102,8 @@
             logger.info("answer was not sent", extra={"error": str(error)})
 
     def close(self) -> None:
-        """Close all connections."""
+        """Let the receiving thread close all connections."""
         self._closed = True
-        self._socket.close()
 
 
 def announce_leader(address: str, message: HostingMessage, name: str) -> bool:
--- /dev/null
+++ b/tests/test_leader_link.py
@@ -0,0 +1,54 @@
+"""Tests of connections to a leader that are given up while messages are awaited."""
+
+import subprocess
+import sys
+
+from bench.addresses import find_address
+from tests.cases import AsyncTestCase
+
+SECONDS = 60
+# Receives that expire each millisecond meet the end of a connection in less than a
+# second, which receives of half a second do once in some days of a fleet.
+PROGRAM = """
+import random, sys, threading
+from egretcrank.transport import leader
+
+leader.RECEIVE_TIMEOUT_MILLISECONDS = 1
+leader.SEND_TIMEOUT_MILLISECONDS = 1
+
+def reconnect(seed):
+    dice = random.Random(seed)
+    link = leader.LeaderLink("test", lambda message: None)
+    for _ in range(300):
+        link.connect(sys.argv[1])
+        link.send(leader.AppendAnswer(1, True))
+        threading.Event().wait(dice.uniform(0, 0.004))
+    link.close()
+
+threads = [threading.Thread(target=reconnect, args=(n,)) for n in range(8)]
+for thread in threads:
+    thread.start()
+for thread in threads:
+    thread.join()
+left = [t for t in threading.enumerate() if t is not threading.main_thread()]
+for thread in left:
+    thread.join(10)
+sys.exit(2 if any(thread.is_alive() for thread in left) else 0)
+"""
+
+
+class ReconnectTests(AsyncTestCase):
+    """Connections that are dialled anew while others use them."""
+
+    def test_a_connection_that_is_given_up_does_not_end_the_process(self):
+        """Guards against the panic of nng that ended a controller with code 134.
+
+        A socket was closed by one thread while the receive of another one expired.
+        """
+        ended = subprocess.run(
+            [sys.executable, "-c", PROGRAM, find_address()],
+            capture_output=True,
+            timeout=SECONDS,
+            check=False,
+        )
+        self.assertEqual(ended.returncode, 0, ended.stderr.decode()[-2000:])
