Bound what a stopping process waits for by the time that it has left

A request that came 4.4 s after SIGTERM waited for the log with its caller's limit of 3 s; the process ended 0.6 s before the end of the grace time with 2 requests in flight, and their connections were closed unanswered.

Ruled out: that the process ended early (it ended 5.4 s after SIGTERM of 6 s of grace).

Change: once told to stop, the process gives each request the time until its last answers are due at most, and refuses what has less than 0.4 s before anything is sent, with a Retry-After. Tests fail without it.

--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -155,7 +155,7 @@
         """Hand the leadership over, and go on answering while callers may send."""
         ends_at = self._clock.boottime() + self._settings.bounds.grace_seconds
         logger.info("stopping")
-        self._ingress.closing = True
+        self._ingress.close(ends_at - GRACE_MARGIN)
         self._resign("process stops")
         self._election.leave()
         self._sleep_until(ends_at - GRACE_MARGIN)
--- a/src/egretcrank/platform/ingress.py
+++ b/src/egretcrank/platform/ingress.py
@@ -23,6 +23,8 @@
 DEADLINE_HEADER = "HTTP_EGRETCRANK_REQUEST_DEADLINE"
 # Callers that name no deadline wait about this long.
 DEFAULT_LIMIT = timedelta(seconds=3)
+# Least time for storing a job; with less, it is refused before anything is sent.
+LEAST_LIMIT = timedelta(milliseconds=400)
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdef")
 
@@ -79,7 +81,8 @@
         self._service = service
         self._clock = clock
         self._metrics = metrics
-        self.closing = False
+        # Set once the process is told to stop: when its last answers are due.
+        self._answers_until: timedelta | None = None
         self._count_lock = threading.Lock()
         self.in_flight = 0
 
@@ -91,6 +94,14 @@
         finally:
             self._count(-1)
 
+    def close(self, answers_until: timedelta) -> None:
+        """Go on answering until a time, and ask callers to connect elsewhere.
+
+        Answers a planned restart: a request that waits for the log for all of its
+        caller's time would be cut off by the end of the process.
+        """
+        self._answers_until = answers_until
+
     def _count(self, change: int) -> None:
         with self._count_lock:
             self.in_flight += change
@@ -116,7 +127,8 @@
             seconds = max(1, round(answer.retry_after.total_seconds()))
             headers.append(("Retry-After", str(seconds)))
         # A controller whose log is away sends its callers to others, which may have it.
-        if self.closing or answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        unavailable = answer.status == HTTPStatus.SERVICE_UNAVAILABLE
+        if self._answers_until is not None or unavailable:
             headers.append(("Connection", "close"))
         start(f"{answer.status} {HTTPStatus(answer.status).phrase}", headers)
         return [answer.body]
@@ -145,16 +157,29 @@
                     ErrorKind.BAD_REQUEST, "not the identifier of a job", rest[:100]
                 )
             )
-        limit = _read_limit(environ)
+        if method == "GET":
+            return _build_answer(self._service.describe(rest))
+        left = self._find_time_left()
+        if method in ("POST", "DELETE") and left < LEAST_LIMIT:
+            logger.info(
+                "request refused",
+                extra={"job": rest, "why": "stopping", "left": left.total_seconds()},
+            )
+            return _build_error(Problem(ErrorKind.LEAVING, "the process stops"))
+        limit = min(_read_limit(environ), left)
         match method:
             case "POST":
                 return _build_answer(self._submit(queue, rest, body, limit))
-            case "GET":
-                return _build_answer(self._service.describe(rest))
             case "DELETE":
                 return _build_answer(self._service.cancel(rest, limit))
         return _build_error(Problem(ErrorKind.METHOD_NOT_ALLOWED, method))
 
+    def _find_time_left(self) -> timedelta:
+        """Return the time that a stopping process has for one more answer."""
+        if self._answers_until is None:
+            return timedelta.max
+        return self._answers_until - self._clock.boottime()
+
     def _submit(
         self, queue: Queue, job_id: str, body: bytes, limit: timedelta
     ) -> Result[JobState, Problem]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -339,6 +339,38 @@
         self.tail.age = timedelta(seconds=10)
         self.assertEqual(self._ask(ingress, "GET", f"/x/{JOB_ID}")[0], 503)
 
+    def test_a_stopping_process_gives_a_request_the_time_that_it_has_left(self):
+        """Guards against a request that the end of the process cuts off.
+
+        One that came 4.4 s after SIGTERM waited for the log for its caller's 3 s, and
+        its connection was closed without an answer at 5.4 s.
+        """
+        ingress = self._build()
+        limits = []
+
+        def note_limit(key, value, limit):
+            limits.append(limit)
+            return Success(None)
+
+        ingress._service._append = note_limit
+        body = msgspec.json.encode(JOB)
+        self._ask(ingress, "POST", f"/x/{JOB_ID}", body)
+        ingress.close(self.clock.boottime() + timedelta(seconds=2))
+        self.clock.advance(timedelta(milliseconds=800))
+        _, headers, _ = self._ask(ingress, "POST", f"/x/{JOB_ID}", body)
+        self.assertEqual(headers["Connection"], "close")
+        self.assertEqual(limits, [timedelta(seconds=3), timedelta(milliseconds=1200)])
+
+    def test_a_process_that_is_about_to_end_refuses_before_any_append(self):
+        """Guards against an uncertain outcome where a true refusal is possible."""
+        ingress = self._build()
+        ingress.close(self.clock.boottime() + timedelta(milliseconds=300))
+        body = msgspec.json.encode(JOB)
+        status, headers, answer = self._ask(ingress, "POST", f"/x/{JOB_ID}", body)
+        self.assertEqual((status, answer["ran"]), (503, "no"))
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(ingress._service._store._caller.calls, [])
+
     def test_no_configuration_yet(self):
         """Guards against a 404 from a controller that has just started."""
         ingress = self._build(manifest=None)
