Send each order once, and a job's specification once to a host

It sent a job's specification, up to 4 KB, with each task of a step, and all unconfirmed orders again with each new one.

Change: scheduling.outbox sends an order once, and again only when its confirmation is overdue, after twice the time with each try; specifications travel beside the orders, once for a job and host. An agent takes no order whose specification it lacks. The wire format between controllers and agents changes.

--- a/bench/leader.py
+++ b/bench/leader.py
@@ -29,6 +29,7 @@
     RunnerFacts,
     RunningTask,
     StartOrder,
+    find_job,
 )
 
 TICK = timedelta(milliseconds=25)
@@ -79,6 +80,7 @@
         )
         self.running: dict[str, _Run] = {}
         self.ended: list[EndedTask] = []
+        self.specs: dict[str, str] = {}
         self.ends = 0
         self.epoch = self.session = self.applied = self.sequence = 0
         self.report_at = timedelta(seconds=100 + phase)
@@ -92,13 +94,15 @@
             self.urgent = True
             self.full_at = timedelta()
         self.ended = [e for e in self.ended if e.number > message.durable_ends]
+        self.specs.update(message.specs)
         for order in message.orders:
             if order.number != self.applied + 1:
                 continue
             self.applied = order.number
             self.urgent = True
             match order.start:
-                case StartOrder(task, run, spec):
+                case StartOrder(task, run):
+                    spec = self.specs[find_job(task)]
                     seconds = float(spec.partition(" ")[0])
                     ends_at = now + timedelta(seconds=seconds)
                     self.running[task] = _Run(run, ends_at, order.start.profile.cpu)
@@ -221,7 +225,7 @@
         for n in range(hosts)
     }
     timer = Timer()
-    offset = starts = 0
+    offset = starts = sent_bytes = 0
     capacity = hosts * CPU / 1000
     credit = 0.0
     until = clock.elapsed + timedelta(seconds=seconds)
@@ -251,7 +255,8 @@
         orders = timer.run("orders", lambda: list(cell.take_orders()))
         for target, message in orders:
             starts += sum(order.start is not None for order in message.orders)
-            timer.run("encode", partial(HOSTING_CODEC.encode, message, "", "c"))
+            encode = partial(HOSTING_CODEC.encode, message, "", "c")
+            sent_bytes += len(timer.run("encode", encode))
             fleet[target.name].take(message, now)
         changes = timer.run("changes", cell.take_changes)
         timer.run("durable", partial(cell.mark_durable, changes))
@@ -260,6 +265,7 @@
         part: 1000 * spent / seconds for part, spent in sorted(timer.seconds.items())
     }
     result["total"] = sum(result.values())
+    result["sent_kilobytes"] = sent_bytes / 1000 / seconds
     result["starts"] = starts / seconds
     result["reports"] = timer.calls["report"] / seconds
     result["open_jobs"] = sum(not job.phase.final for job in cell.jobs.values())
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -1,6 +1,8 @@
 """What an agent knows of its runner and of the orders it has taken."""
 
 import math
+from collections import OrderedDict
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -17,6 +19,7 @@
     RunnerFacts,
     RunningTask,
     TaskProfile,
+    find_job,
 )
 
 # Rates of the runner's clock and of this host's differ by this much at most.
@@ -31,6 +34,8 @@
 SILENT_AFTER = timedelta(seconds=1)
 # Time from the end of a lease until the runner has killed what it held.
 OVER_MARGIN = timedelta(milliseconds=500)
+# Jobs whose specification is kept, twice what a leader takes for known: 2 MB at most.
+MOST_SPECS = 512
 
 
 class Identity(NamedTuple):
@@ -72,6 +77,8 @@
         self._refused: dict[RefusedStart, int] = {}
         self._full_sequence = 0
         self.profiles: dict[str, TaskProfile] = {}
+        # Specifications by job, the one used last at the end.
+        self._specs: OrderedDict[str, str] = OrderedDict()
         # Figures as the runner gave them, and its clock then.
         self.figures: dict[Run, float] = {}
         self._listed_at = 0
@@ -225,18 +232,32 @@
                 del self._ended[number]
         self.profiles.update(message.profiles)
         new = []
+        self._keep_specs(message.specs)
         for order in message.orders:
             if order.number != self.applied + 1:
                 continue
-            self.applied = order.number
-            new.append(order)
             if order.start is not None:
-                self._starting[Run(order.start.task, order.start.run)] = order.number
-                self.profiles[order.start.task] = order.start.profile
+                spec = self._specs.get(find_job(order.start.task))
+                if spec is None:
+                    # The leader sends it again with the order, which stays unconfirmed.
+                    break
+                start = order.start._replace(spec=spec)
+                order = order._replace(start=start)
+                self._starting[Run(start.task, start.run)] = order.number
+                self.profiles[start.task] = start.profile
             if order.stop is not None:
                 self._stopping.add(Run(order.stop.task, order.stop.run))
+            self.applied = order.number
+            new.append(order)
         return new
 
+    def _keep_specs(self, specs: Mapping[str, str]) -> None:
+        for job, spec in specs.items():
+            self._specs[job] = spec
+            self._specs.move_to_end(job)
+        while len(self._specs) > MOST_SPECS:
+            self._specs.popitem(last=False)
+
     def mark_started(self, run: Run, clock: int) -> None:
         """Note that the runner has a run; ``clock`` is its reading then."""
         self._starting.pop(run, None)
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -16,11 +16,11 @@
 from egretcrank.scheduling.changes import ChangeCollector, Changes
 from egretcrank.scheduling.definitions import parse_task_key
 from egretcrank.scheduling.hosts import (
-    RESEND_AFTER,
     ForeignRun,
     HostState,
 )
 from egretcrank.scheduling.moves import note_speed
+from egretcrank.scheduling.outbox import EMPTY_BATCH
 from egretcrank.scheduling.planner import Planner, build_profile
 from egretcrank.scheduling.records import Phase
 from egretcrank.scheduling.runs import Runs
@@ -36,7 +36,6 @@
     EndedTask,
     HostOrders,
     HostReport,
-    NumberedOrder,
     Pressure,
     RefusedStart,
     RunningTask,
@@ -241,7 +240,7 @@
         host.leaving = report.leaving
         host.silent = report.silent
         host.profiles_due = report.unprofiled > 0
-        host.confirm_orders(report.applied)
+        host.outbox.confirm(report.applied, now)
         self._take_runner(host, report)
         for refused in report.refused:
             self._take_refusal(host, refused)
@@ -503,14 +502,11 @@
         for host in self.hosts.values():
             if not host.incarnation:
                 continue
-            resend = host.pending and now - host.pending_sent_at > RESEND_AFTER
-            if not host.reply_due and not resend:
+            due = host.attached and host.outbox.is_due(now)
+            if not host.reply_due and not due:
                 continue
             host.reply_due = False
-            sent: tuple[NumberedOrder, ...] = ()
-            if resend and host.attached:
-                sent = tuple(host.pending)
-                host.pending_sent_at = now
+            batch = host.outbox.take(now) if due else EMPTY_BATCH
             if host.attached and authority > timedelta():
                 # The agent counts from the sending of its last report.
                 granted = host.reported_at + authority
@@ -529,7 +525,8 @@
                     born=host.runner.born if host.runner else 0,
                     seen_ends=host.ends_seen,
                     durable_ends=host.ends_durable,
-                    orders=sent,
+                    orders=batch.orders,
+                    specs=batch.specs,
                     profiles=self._take_profiles(host),
                     pressures=self._take_pressures(host),
                 ),
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -7,8 +7,8 @@
 
 from egretcrank.policy.sharing import ChangedPressures
 from egretcrank.scheduling.definitions import Step, TaskKey
+from egretcrank.scheduling.outbox import Outbox
 from egretcrank.wire.hosting import (
-    NumberedOrder,
     RunnerFacts,
     ServingRoom,
     StartOrder,
@@ -18,8 +18,6 @@
 # An agent reports twice a second at least; after two missed reports nothing new is
 # placed on its host.
 SILENT_AFTER = timedelta(milliseconds=1300)
-# Orders that no report confirmed are sent again.
-RESEND_AFTER = timedelta(milliseconds=300)
 # Share of its processors that a serving task uses on average; it reserves its peak.
 SERVING_USE = 0.55
 
@@ -51,10 +49,7 @@
         self.profiles_due = False
         self.granted_until = timedelta()
         self.avoid_until = timedelta()
-        self.pending: list[NumberedOrder] = []
-        self.pending_sent_at = timedelta()
-        self.last_number = 0
-        self.applied = 0
+        self.outbox = Outbox()
         self.tasks: set[TaskKey] = set()
         self.foreign: set[ForeignRun] = set()
         self.ends_seen = 0
@@ -146,29 +141,13 @@
 
     def add_order(self, order: StartOrder | StopOrder) -> int:
         """Queue an order for the agent and return its number."""
-        self.last_number += 1
-        match order:
-            case StartOrder():
-                numbered = NumberedOrder(self.last_number, start=order)
-            case StopOrder():
-                numbered = NumberedOrder(self.last_number, stop=order)
-        self.pending.append(numbered)
-        self.pending_sent_at = timedelta()
-        return self.last_number
-
-    def confirm_orders(self, applied: int) -> None:
-        """Drop the orders that the agent has taken."""
-        self.applied = max(self.applied, applied)
-        if self.pending and self.pending[0].number <= self.applied:
-            self.pending = [o for o in self.pending if o.number > self.applied]
+        return self.outbox.add(order)
 
     def begin_session(self, incarnation: str) -> None:
         """Forget the orders of an earlier session; its agent no longer takes them."""
         self.incarnation = incarnation
         self.sequence = -1
-        self.pending = []
-        self.last_number = 0
-        self.applied = 0
+        self.outbox = Outbox()
         self.foreign.clear()
         self.told_pressures = ChangedPressures()
 
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -100,8 +100,13 @@
     target_milliseconds: float
 
 
+def find_job(task: str) -> str:
+    """Return the job of a task, by the task's name."""
+    return task.partition(".")[0]
+
+
 class StartOrder(NamedTuple):
-    """Start a run of a task."""
+    """Start a run of a task; ``spec`` is empty on the wire, see ``HostOrders``."""
 
     task: str
     run: int
@@ -169,6 +174,8 @@
     the former one are void. Leases may last until ``authority_seconds`` after
     ``report_sent_at`` on the agent's clock. Ends of life ``born`` up to ``seen_ends``
     need not be reported again; those up to ``durable_ends`` are on the log.
+    ``specs`` are the specifications, by job, that the session's orders need from here
+    on. An order whose specification is missing was sent after a message that was lost.
     """
 
     epoch: int = 0
@@ -181,6 +188,7 @@
     seen_ends: int = 0
     durable_ends: int = 0
     orders: tuple[NumberedOrder, ...] = ()
+    specs: dict[str, str] = field(default_factory=dict)
     profiles: dict[str, TaskProfile] = field(default_factory=dict)
     pressures: tuple[Pressure, ...] = ()
 
--- /dev/null
+++ b/tests/test_outbox.py
@@ -0,0 +1,132 @@
+"""Tests of orders on their way to an agent, on links that are small or lossy."""
+
+import itertools
+from datetime import timedelta
+
+from egretcrank.agent.state import AgentState, Identity
+from egretcrank.scheduling.outbox import (
+    MOST_KNOWN_SPECS,
+    MOST_RESEND_AFTER,
+    RESEND_AFTER,
+    Batch,
+    Outbox,
+)
+from egretcrank.wire.hosting import HostOrders, StartOrder, StopOrder, TaskProfile
+from tests.cases import AsyncTestCase
+
+NOW = timedelta(seconds=100)
+SPEC = "s" * 4000
+PROFILE = TaskProfile(1000, False, "", 0.0)
+
+
+def build_start(job: str = "a", index: int = 0) -> StartOrder:
+    """Build the order of one task of a job."""
+    return StartOrder(f"{job}.0.0.{index}", 1, SPEC, "", "", PROFILE)
+
+
+def list_numbers(batch: Batch) -> list[int]:
+    """List the numbers of the orders of a batch."""
+    return [order.number for order in batch.orders]
+
+
+class SendingTests(AsyncTestCase):
+    """What the leader sends, and when it sends it again."""
+
+    def test_an_order_is_sent_once_while_its_confirmation_is_on_the_way(self):
+        """Guards against all unconfirmed orders being sent with each new one.
+
+        On a link of 2 Mbit/s a leader filled its link with repetitions within four
+        seconds, its joins timed out, and the next leader did the same.
+        """
+        outbox = Outbox()
+        sent = []
+        for index in range(10):
+            outbox.add(build_start(index=index))
+            sent += list_numbers(outbox.take(NOW + timedelta(milliseconds=20 * index)))
+        self.assertEqual(sent, list(range(1, 11)))
+
+    def test_a_specification_is_sent_once_for_the_tasks_of_a_job(self):
+        """Guards against 4 KB for each task of a wide step."""
+        outbox = Outbox()
+        for index in range(40):
+            outbox.add(build_start(index=index))
+        batch = outbox.take(NOW)
+        self.assertEqual(batch.specs, {"a": SPEC})
+        specs = {order.start.spec for order in batch.orders if order.start}
+        self.assertEqual(specs, {""})
+        outbox.add(build_start(index=40))
+        self.assertEqual(outbox.take(NOW).specs, {})
+
+    def test_unconfirmed_orders_are_sent_again_ever_more_rarely(self):
+        """Guards against repetitions that keep a full link full."""
+        outbox = Outbox()
+        outbox.add(build_start())
+        outbox.add(StopOrder("b.0.0.0", 1))
+        times = []
+        for step in range(800):
+            now = NOW + step * timedelta(milliseconds=10)
+            batch = outbox.take(now)
+            if batch.orders:
+                self.assertEqual(list_numbers(batch), [1, 2])
+                self.assertEqual(batch.specs, {"a": SPEC})
+                times.append(now)
+        gaps = [after - before for before, after in itertools.pairwise(times)]
+        self.assertGreaterEqual(gaps[0], RESEND_AFTER)
+        self.assertEqual(gaps, sorted(gaps))
+        self.assertLess(len(times), 7)
+        self.assertLessEqual(gaps[-1], MOST_RESEND_AFTER + timedelta(milliseconds=20))
+
+    def test_progress_of_the_agent_puts_repetitions_off(self):
+        """Guards against repetitions to an agent that takes orders slowly."""
+        outbox = Outbox()
+        for index in range(3):
+            outbox.add(build_start(index=index))
+        outbox.take(NOW)
+        later = NOW + RESEND_AFTER
+        outbox.confirm(2, later)
+        self.assertEqual(len(outbox), 1)
+        self.assertFalse(outbox.is_due(later + RESEND_AFTER / 2))
+        self.assertEqual(list_numbers(outbox.take(later + 2 * RESEND_AFTER)), [3])
+
+    def test_known_specifications_are_bounded(self):
+        """Guards against memory that grows with the jobs of a session."""
+        outbox = Outbox()
+        for number in range(MOST_KNOWN_SPECS + 1):
+            outbox.add(build_start(f"j{number}"))
+            outbox.take(NOW)
+        outbox.add(build_start("j0", 1))
+        self.assertEqual(outbox.take(NOW).specs, {"j0": SPEC})
+
+
+class LossTests(AsyncTestCase):
+    """Messages that do not arrive."""
+
+    def _deliver(self, agent: AgentState, batch: Batch) -> list[str]:
+        message = HostOrders(
+            epoch=1, session=1, incarnation="i", orders=batch.orders, specs=batch.specs
+        )
+        taken = agent.take_orders(message)
+        return [order.start.spec for order in taken if order.start]
+
+    def test_an_order_without_its_specification_waits_for_the_next_sending(self):
+        """Guards against a task that is started with another specification."""
+        outbox, agent = Outbox(), AgentState(Identity("h", "h:1", "i"))
+        outbox.add(build_start())
+        outbox.take(NOW)
+        outbox.add(build_start(index=1))
+        self.assertEqual(self._deliver(agent, outbox.take(NOW)), [])
+        again = outbox.take(NOW + 2 * RESEND_AFTER)
+        self.assertEqual(self._deliver(agent, again), [SPEC, SPEC])
+        self.assertEqual(agent.applied, 2)
+
+    def test_an_agent_that_has_dropped_a_specification_takes_the_order_later(self):
+        """Guards against an order that waits for good."""
+        outbox, agent = Outbox(), AgentState(Identity("h", "h:1", "i"))
+        outbox.add(build_start())
+        self.assertEqual(self._deliver(agent, outbox.take(NOW)), [SPEC])
+        outbox.confirm(agent.applied, NOW)
+        agent._specs.clear()
+        outbox.add(build_start(index=1))
+        self.assertEqual(self._deliver(agent, outbox.take(NOW)), [])
+        again = outbox.take(NOW + 2 * RESEND_AFTER)
+        self.assertEqual(self._deliver(agent, again), [SPEC])
