Ignore heartbeats that are older than what the agent knows

One that a partition held up from before the runner began to drain ended the drain until the next heartbeat, and one that came after the runner's DELETE put the host back into use, for the leader too.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -130,10 +130,20 @@
     def _take_heartbeat(self, heartbeat: Heartbeat) -> None:
         with self._lock:
             known = self._state.runner
-            self._state.take_runner(heartbeat.runner)
-            self._runner.instance = heartbeat.runner.runner_id
+            news = self._state.take_runner(heartbeat.runner, heartbeat.sequence)
+            if news:
+                self._runner.instance = heartbeat.runner.runner_id
             changed = known is None or known.draining != heartbeat.runner.draining
-        if changed:
+        if not news:
+            logger.info(
+                "old heartbeat ignored",
+                extra={
+                    "runner": heartbeat.runner.runner_id,
+                    "born": heartbeat.runner.born,
+                    "sequence": heartbeat.sequence,
+                },
+            )
+        elif changed:
             logger.info(
                 "runner known",
                 extra={
@@ -146,9 +156,7 @@
     def _take_leave(self, runner_id: str) -> None:
         logger.info("runner left", extra={"runner": runner_id})
         with self._lock:
-            known = self._state.runner
-            if known is not None and known.runner_id == runner_id:
-                self._state.left = True
+            self._state.leave(runner_id)
         self._report_due.set()
 
     def _run_looks(self) -> None:
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -57,6 +57,8 @@
         self.authority_until = timedelta()
         self.heard_at: timedelta | None = None
         self.runner: RunnerFacts | None = None
+        # Number of the heartbeat that the facts are from; it grows within a life.
+        self._heartbeat = -1
         self.looked = False
         self.left = False
         self.born = 0
@@ -89,12 +91,29 @@
 
     # Runner
 
-    def take_runner(self, runner: RunnerFacts) -> None:
-        """Take what the runner says of itself in a heartbeat."""
-        if self.born and runner.born < self.born:
-            return
+    def take_runner(self, runner: RunnerFacts, sequence: int) -> bool:
+        """Take what the runner says of itself in a heartbeat; tell whether it is news.
+
+        Answers heartbeats that a partition held up: one from before the runner began
+        to drain, before it left, or of a former life puts nothing back into use.
+        """
+        if runner.born < self.born:
+            return False
+        known = self.runner
+        if known is not None:
+            if (runner.born, sequence) <= (known.born, self._heartbeat):
+                return False
+            if self.left and runner.born == known.born:
+                return False
         self.runner = runner
+        self._heartbeat = sequence
         self.left = False
+        return True
+
+    def leave(self, runner_id: str) -> None:
+        """Note that the runner's life has ended, unless another one is known."""
+        if self.runner is not None and self.runner.runner_id == runner_id:
+            self.left = True
 
     def take_look(self, look: Look, received_at: timedelta) -> bool:
         """Take a list of runs and ends; tell whether it has something to report."""
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -218,6 +218,7 @@
             Identity(runner.name, f"{runner.name}:1", f"i{incarnation}")
         )
         self.pace = PaceController()
+        self.heartbeats = 0
         self.token = int(world.now() / timedelta(milliseconds=1)) + 1000 * incarnation
 
     def look(self) -> None:
@@ -231,8 +232,8 @@
         if look is None:
             self.token += 5000
             return
-        if not state.left:
-            state.take_runner(self.runner.describe())
+        self.heartbeats += 1
+        state.take_runner(self.runner.describe(), self.heartbeats)
         state.take_look(look, self.world.now())
 
     def take(self, message: HostOrders) -> None:
