Refuse jobs and records that no leader could bear, and go on after one that fails

Cause, found by reading for the operators' stories (one malformed message took a whole process down): a job with an estimate of some million years was accepted, and each plan of each leader then failed with an overflow; a record with a step that depends on a missing one raised in every controller, whose follower read the same page again for good; a repeated job without an end would have taken all memory. An error in handling a message ended the only thread that receives from the leader, and the agent was deaf until it dialled again.

Change: durations, repetitions and tasks of a job are bounded (400 with the reason), records are checked like jobs and refused whole, a record or message that fails is logged and counted and the next one follows.

--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -65,6 +65,8 @@
 CATCH_UP_TIMEOUT = timedelta(seconds=5)
 # Records that only a leader writes.
 LEADER_KINDS = (RecordKind.PROGRESS, RecordKind.HOST, RecordKind.LEADER)
+# Records that callers cause.
+CALLER_KINDS = (RecordKind.JOB, RecordKind.CANCELLATION)
 LEADER_KEY = RecordKey(RecordKind.LEADER, str(CELL))
 # A signal is noticed between two waits of the main thread.
 SIGNAL_CHECK = timedelta(milliseconds=200)
@@ -190,17 +192,28 @@
     def _take_records(self, records: tuple[StoredValue, ...]) -> None:
         with self._lock:
             for stored in records:
-                key = self._table.fold(stored)
-                if key is not None and key.kind in LEADER_KINDS:
-                    self._submissions.note_leader_record()
-                if key is None or self._cell is None:
-                    continue
-                if key.kind in (RecordKind.JOB, RecordKind.CANCELLATION):
-                    self._cell.fold_job(key.name)
+                try:
+                    self._take_record(stored)
+                except Exception:
+                    # A record that fails each time must not hold up those after it.
+                    logger.exception(
+                        "record failed",
+                        extra={"key": stored.key, "offset": stored.offset},
+                    )
+                    self._metrics.log_records.inc({"stream": "cell", "result": "void"})
             if self._cell is not None:
                 self._wake()
         self._submissions.follow(self._table.leader.address)
 
+    def _take_record(self, stored: StoredValue) -> None:
+        key = self._table.fold(stored)
+        if key is None:
+            return
+        if key.kind in LEADER_KINDS:
+            self._submissions.note_leader_record()
+        if self._cell is not None and key.kind in CALLER_KINDS:
+            self._cell.fold_job(key.name)
+
     def _take_operator_records(self, records: tuple[StoredValue, ...]) -> None:
         for stored in records:
             if stored.key != CONFIGURATION_KEY or not stored.value:
--- a/src/egretcrank/platform/ingress.py
+++ b/src/egretcrank/platform/ingress.py
@@ -186,7 +186,17 @@
         now = self._clock.now()
         match decode_body(body, _Job):
             case Success(job):
-                definition = _build_definition(job, queue, job_id, now)
+                try:
+                    definition = _build_definition(job, queue, job_id, now)
+                except (OverflowError, ValueError) as error:
+                    return Failure(
+                        Problem(
+                            ErrorKind.BAD_REQUEST,
+                            f"a time cannot be told: {error}",
+                            "body",
+                            "times and durations of some years at most",
+                        )
+                    )
                 return self._service.submit(definition, limit)
             case Failure(problem):
                 return Failure(
@@ -212,7 +222,7 @@
         job.spec,
         tuple(_build_step(step) for step in job.steps),
         now,
-        max(0, job.repetitions),
+        job.repetitions,
         first,
         timedelta(milliseconds=job.interval_ms),
     )
--- a/src/egretcrank/scheduling/definitions.py
+++ b/src/egretcrank/scheduling/definitions.py
@@ -8,6 +8,13 @@
 # Widest step and longest chain that are accepted; both bound the memory of one job.
 MAX_TASKS = 10_000
 MAX_STEPS = 100
+# Tasks of a job over all steps and repetitions: each takes about 150 bytes at the
+# leader, which has 200 MB on the smallest machines.
+MAX_JOB_TASKS = 100_000
+# Longest estimate and interval, and how far ahead a first run may be. Sums of a few of
+# them stay within the dates that can be told.
+MAX_DURATION = timedelta(days=365)
+MAX_AHEAD = timedelta(days=3650)
 
 
 class Step(NamedTuple):
@@ -105,8 +112,18 @@
             return f"step {number} depends on a step that is not before it"
         if min(step.cpu, step.memory, step.accelerators, step.spread_limit) < 0:
             return f"step {number} has a negative amount"
+        if not timedelta() <= step.estimate <= MAX_DURATION:
+            return f"step {number} has an estimate below 0 or over {MAX_DURATION}"
         if any(steps[earlier].lasting for earlier in step.depends_on):
             return f"step {number} depends on a step that never ends"
     if definition.repetitions and definition.first_run is None:
         return "a repeated job has no time of its first run"
+    tasks = sum(step.width for step in steps) * max(1, definition.repetitions)
+    if definition.repetitions < 0 or tasks > MAX_JOB_TASKS:
+        return f"a job has up to {MAX_JOB_TASKS} tasks over all its repetitions"
+    first_run = definition.first_run
+    if first_run is not None and first_run - definition.submitted_at > MAX_AHEAD:
+        return f"the first run is over {MAX_AHEAD} ahead"
+    if not timedelta() <= definition.interval <= MAX_DURATION:
+        return f"repetitions are 0 to {MAX_DURATION} apart"
     return ""
--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -6,7 +6,7 @@
 
 from returns.result import Success
 
-from egretcrank.scheduling.definitions import JobDefinition
+from egretcrank.scheduling.definitions import JobDefinition, find_defect
 from egretcrank.scheduling.records import (
     HostRecord,
     LeaderRecord,
@@ -83,6 +83,10 @@
             return True
         match decode_record(key.kind, stored.value):
             case Success(JobDefinition() as definition):
+                defect = find_defect(definition)
+                if defect or definition.job_id != key.name:
+                    self._refuse(stored, defect or "key names another job")
+                    return False
                 entry = self._find(key.name)
                 if entry.definition is None:
                     entry.definition = definition
--- a/src/egretcrank/transport/leader.py
+++ b/src/egretcrank/transport/leader.py
@@ -138,13 +138,21 @@
             continue
         if retired.is_set():
             return
-        match HOSTING_CODEC.decode(data):
-            case Success(
-                Delivery(HostOrders() | LeaderMoved() | AppendAnswer() as message)
-            ):
-                take(message)
-            case Success(Delivery(other)):
-                kind = type(other).__name__
-                logger.warning("message refused", extra={"message_kind": kind})
-            case Failure(problem):
-                logger.warning("message refused", extra={"detail": problem.detail})
+        try:
+            _hand_on(data, take)
+        except Exception:
+            # The thread is the only one that receives from this peer.
+            logger.exception("message failed")
+
+
+def _hand_on(data: bytes, take: Callable[[LeaderMessage], None]) -> None:
+    match HOSTING_CODEC.decode(data):
+        case Success(
+            Delivery(HostOrders() | LeaderMoved() | AppendAnswer() as message)
+        ):
+            take(message)
+        case Success(Delivery(other)):
+            kind = type(other).__name__
+            logger.warning("message refused", extra={"message_kind": kind})
+        case Failure(problem):
+            logger.warning("message refused", extra={"detail": problem.detail})
