Serve callers by the leader while the log is away from one controller alone

Ruled out: waiting for the own log, as such spans last 9 s; handing the record on without a probe, as a leader without a log leaves the outcome open, and the caller gets a 504.

Change: a controller whose log is away asks the leader whether it appends at once (200 ms at most) and then hands the record over, for 1 s at most; if not, it refuses at once as before. Tests for both answers, the refusal and the open outcome.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -35,6 +35,7 @@
     AppendAnswer,
     HostOrders,
     LeaderMoved,
+    LeaderStatus,
     NumberedOrder,
     Run,
     StartOrder,
@@ -261,8 +262,9 @@
                         extra={"epoch": message.epoch, "address": message.address},
                     )
                     self._report_due.set()
-            case AppendAnswer():
-                logger.warning("message refused", extra={"message_kind": "answer"})
+            case AppendAnswer() | LeaderStatus():
+                kind = type(message).__name__
+                logger.warning("message refused", extra={"message_kind": kind})
 
     def _take_orders(self, message: HostOrders) -> None:
         with self._lock:
--- a/src/egretcrank/controller/committer.py
+++ b/src/egretcrank/controller/committer.py
@@ -26,6 +26,8 @@
 # Callers' records of one append; the platform takes 2 MiB with all the others.
 MAX_GROUP_BYTES = 1024 * 1024
 RETRY_AFTER = timedelta(milliseconds=100)
+# An append that has not ended after this long tells of a log that is away or slow.
+PROMPT_APPEND = timedelta(milliseconds=300)
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +64,7 @@
         self._changed = changed
         self._urgent = threading.Event()
         self._submissions: deque[Submission] = deque()
+        self._append_began: timedelta | None = None
         self._stopped = False
         self.fenced = False
 
@@ -76,6 +79,13 @@
         if self._is_over:
             self._abandon(())
 
+    @property
+    def accepts(self) -> bool:
+        """Tell whether a record that came now would be appended at once."""
+        began = self._append_began
+        late = began is not None and self._clock.boottime() - began > PROMPT_APPEND
+        return not self._is_over and not late
+
     def run(self) -> None:
         """Append until fenced or stopped."""
         while not self._is_over:
@@ -121,11 +131,12 @@
             for change in changes.records
         ]
         records += [submission.record for submission in submissions]
-        began = self._clock.boottime()
+        began = self._append_began = self._clock.boottime()
         while not self._stopped:
             match self._appender.append(records):
                 case Success(appended):
                     took = self._clock.boottime() - began
+                    self._append_began = None
                     self._metrics.append_seconds.add({}, took.total_seconds())
                     with self._lock:
                         self._cell.mark_durable(changes)
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -116,6 +116,7 @@
             settings.host.name,
             self._take_report,
             self._submissions.take_request,
+            lambda: self._submissions.accepts,
         )
         self._http = build_http_server(
             EntrySettings(
--- a/src/egretcrank/controller/link.py
+++ b/src/egretcrank/controller/link.py
@@ -15,6 +15,8 @@
     AppendRequest,
     HostingMessage,
     HostReport,
+    LeaderProbe,
+    LeaderStatus,
 )
 
 RECEIVE_TIMEOUT_MILLISECONDS = 500
@@ -40,10 +42,12 @@
         name: str,
         take: Callable[[HostReport], None],
         append: Callable[[AppendRequest, Answer], None],
+        accepts: Callable[[], bool],
     ) -> None:
         self._name = name
         self._take = take
         self._append = append
+        self._accepts = accepts
         self._socket = pynng.Pair1(
             polyamorous=True,
             send_timeout=SEND_TIMEOUT_MILLISECONDS,
@@ -75,6 +79,9 @@
                     self._append(
                         request, partial(self._answer, message.pipe, request.number)
                     )
+                case Success(Delivery(LeaderProbe(number))):
+                    status = LeaderStatus(number, self._accepts())
+                    self._reply(message.pipe, status)
                 case Success(Delivery(other)):
                     kind = type(other).__name__
                     logger.warning("message refused", extra={"message_kind": kind})
@@ -94,10 +101,11 @@
             logger.warning("send failed", extra={"host": host, "error": str(error)})
 
     def _answer(self, pipe: pynng.Pipe, number: int, stored: bool) -> None:
+        self._reply(pipe, AppendAnswer(number, stored))
+
+    def _reply(self, pipe: pynng.Pipe, message: HostingMessage) -> None:
         try:
-            pipe.send(
-                HOSTING_CODEC.encode(AppendAnswer(number, stored), "", self._name)
-            )
+            pipe.send(HOSTING_CODEC.encode(message, "", self._name))
         except pynng.NNGException as error:
             logger.info("answer was not sent", extra={"error": str(error)})
 
--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -34,6 +34,8 @@
 # Share of a caller's time in which a record waits for a leader; the rest is for an
 # append by this controller.
 HOLD_SHARE = 0.5
+# Longest wait for a leader that has just said that it appends at once.
+LEADER_HOLD = timedelta(seconds=1)
 APPEND_PAUSE = timedelta(milliseconds=100)
 # Left of the caller's time for the answer to arrive.
 ANSWER_MARGIN = timedelta(milliseconds=150)
@@ -100,13 +102,22 @@
             logger.info("job known", extra={"job": definition.job_id})
             return Success(JobState(entry.phase))
         outage = self._find_outage()
-        if outage is not None:
+        if outage is not None and not self._submissions.probe():
             logger.info(
-                "job refused", extra={"job": definition.job_id, "why": "outage"}
+                "job refused",
+                extra={
+                    "job": definition.job_id,
+                    "why": "outage",
+                    "view_age": self._tail.find_age().total_seconds(),
+                },
             )
             return Failure(outage)
         key = RecordKey(RecordKind.JOB, definition.job_id)
-        stored = self._append(key, encode_record(definition), limit)
+        value = encode_record(definition)
+        if outage is None:
+            stored = self._append(key, value, limit)
+        else:
+            stored = self._append_by_leader(key, value, limit)
         logger.info(
             "job submitted",
             extra={
@@ -204,6 +215,18 @@
                         return Failure(_choose_problem(doubt, problem))
             time.sleep(APPEND_PAUSE.total_seconds())
 
+    def _append_by_leader(
+        self, key: RecordKey, value: bytes, limit: timedelta
+    ) -> Result[None, Problem]:
+        """Append a record by the leader alone, while the log is away from here."""
+        hold = min(limit - ANSWER_MARGIN, LEADER_HOLD)
+        match self._submissions.submit(key.format(), value, hold):
+            case Failure(Problem(kind=ErrorKind.CALL_TIMEOUT) as doubt):
+                return Failure(_choose_problem(doubt, doubt))
+            case Failure(problem):
+                return Failure(_choose_problem(None, problem))
+        return Success(None)
+
 
 def _choose_problem(doubt: Problem | None, last: Problem) -> Problem:
     if doubt is not None:
--- a/src/egretcrank/controller/submissions.py
+++ b/src/egretcrank/controller/submissions.py
@@ -14,13 +14,20 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.store import encode_keyed
 from egretcrank.transport.leader import LeaderLink, LeaderMessage
-from egretcrank.wire.hosting import AppendAnswer, AppendRequest
+from egretcrank.wire.hosting import (
+    AppendAnswer,
+    AppendRequest,
+    LeaderProbe,
+    LeaderStatus,
+)
 
 # A leader that did not answer is passed by for so long.
 PAUSE_AFTER_SILENCE = timedelta(seconds=1)
 # Pause between two attempts while the leader cannot be reached, and between two looks
 # whether another one leads.
 RETRY_INTERVAL = timedelta(milliseconds=150)
+# A leader that is up answers a probe within a round trip.
+PROBE_TIMEOUT = timedelta(milliseconds=200)
 # A leader whose records came to the log within this time is alive.
 ALIVE_FOR = timedelta(seconds=1)
 
@@ -40,14 +47,14 @@
 
     def __init__(self) -> None:
         self._event = threading.Event()
-        self._stored = False
+        self.agreed = False
 
     @property
     def outcome(self) -> _Outcome:
-        return _Outcome.STORED if self._stored else _Outcome.UNKNOWN
+        return _Outcome.STORED if self.agreed else _Outcome.UNKNOWN
 
-    def settle(self, stored: bool) -> None:
-        self._stored = stored
+    def settle(self, agreed: bool) -> None:
+        self.agreed = agreed
         self._event.set()
 
     def wait(self, timeout: timedelta) -> bool:
@@ -113,6 +120,30 @@
             with self._changed:
                 self._changed.wait(min(until - now, RETRY_INTERVAL).total_seconds())
 
+    @property
+    def accepts(self) -> bool:
+        """Tell whether this controller leads and its appends succeed."""
+        committer = self._committer
+        return committer is not None and committer.accepts
+
+    def probe(self) -> bool:
+        """Tell whether the leader, wherever it is, appends what it is given.
+
+        Answers a log that is away for this controller alone: its callers are served by
+        way of the leader, and a leader that is gone costs them a refusal at once.
+        """
+        if self._committer is not None:
+            return self.accepts
+        if self._clock.boottime() < self._paused_until or not self._link.address:
+            return False
+        number = next(self._numbers)
+        pending = self._pending[number] = _Pending()
+        try:
+            sent = self._link.send(LeaderProbe(number))
+            return sent and pending.wait(PROBE_TIMEOUT) and pending.agreed
+        finally:
+            self._pending.pop(number, None)
+
     def _try(self, key: str, value: bytes, until: timedelta) -> _Outcome:
         pending = _Pending()
         committer = self._committer
@@ -166,10 +197,10 @@
 
     def _take(self, message: LeaderMessage) -> None:
         match message:
-            case AppendAnswer(number, stored):
+            case AppendAnswer(number, agreed) | LeaderStatus(number, agreed):
                 pending = self._pending.get(number)
                 if pending is not None:
-                    pending.settle(stored)
+                    pending.settle(agreed)
             case _:
                 logger.debug("message is of no use to a controller")
 
--- a/src/egretcrank/transport/leader.py
+++ b/src/egretcrank/transport/leader.py
@@ -14,6 +14,7 @@
     HostingMessage,
     HostOrders,
     LeaderMoved,
+    LeaderStatus,
 )
 
 RECEIVE_TIMEOUT_MILLISECONDS = 500
@@ -22,7 +23,7 @@
 
 logger = logging.getLogger(__name__)
 
-LeaderMessage = HostOrders | LeaderMoved | AppendAnswer
+LeaderMessage = HostOrders | LeaderMoved | AppendAnswer | LeaderStatus
 
 
 class _Connection:
@@ -148,9 +149,11 @@
 def _hand_on(data: bytes, take: Callable[[LeaderMessage], None]) -> None:
     match HOSTING_CODEC.decode(data):
         case Success(
-            Delivery(HostOrders() | LeaderMoved() | AppendAnswer() as message)
+            Delivery(
+                HostOrders() | LeaderMoved() | AppendAnswer() | LeaderStatus()
+            ) as delivery
         ):
-            take(message)
+            take(delivery.message)
         case Success(Delivery(other)):
             kind = type(other).__name__
             logger.warning("message refused", extra={"message_kind": kind})
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -224,7 +224,30 @@
     stored: bool = False
 
 
-HostingMessage = HostReport | HostOrders | LeaderMoved | AppendRequest | AppendAnswer
+@dataclass(frozen=True, slots=True)
+class LeaderProbe:
+    """Ask a controller whether it leads and its appends succeed."""
+
+    number: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderStatus:
+    """Tell whether records of callers are likely to be appended at once."""
+
+    number: int = 0
+    accepts: bool = False
+
+
+HostingMessage = (
+    HostReport
+    | HostOrders
+    | LeaderMoved
+    | AppendRequest
+    | AppendAnswer
+    | LeaderProbe
+    | LeaderStatus
+)
 
 # A codec of its own: controllers and agents start without the messages of the entries
 # and sidecars, which take a tenth of the processor time of a start.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import struct
 from datetime import timedelta
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 from returns.result import Failure, Success
@@ -310,6 +311,44 @@
         self.assertIn("Retry-After", headers)
         self.assertEqual(headers["Connection"], "close")
 
+    def test_a_log_that_is_away_from_here_alone_refuses_nobody(self):
+        """Guards against callers who are refused while the leader could serve them.
+
+        A platform that turned a third of the machines away for 9 s made their
+        controllers refuse each job, with hosts free.
+        """
+        self.tail.away = True
+        ingress = self._build()
+        submissions: Any = ingress._service._submissions
+        submissions.probe = lambda: True
+        given = []
+
+        def submit(key, value, hold):
+            given.append(key)
+            return Success(None)
+
+        submissions.submit = submit
+        body = msgspec.json.encode(JOB)
+        status, _, _ = self._ask(ingress, "POST", f"/x/{JOB_ID}", body)
+        self.assertEqual((status, given), (200, [f"j/{JOB_ID}"]))
+        self.assertEqual(ingress._service._store._caller.calls, [])
+
+    def test_a_leader_that_does_not_answer_leaves_the_outcome_open(self):
+        """Guards against a refusal of a job that the leader may have appended."""
+        self.tail.away = True
+        ingress = self._build()
+        submissions: Any = ingress._service._submissions
+        submissions.probe = lambda: True
+        body = msgspec.json.encode(JOB)
+        for kind, expected in (
+            (ErrorKind.CALL_TIMEOUT, 504),
+            (ErrorKind.UNREACHABLE, 503),
+        ):
+            problem = Problem(kind, "the leader did not answer", "leader")
+            submissions.submit = Mock(return_value=Failure(problem))
+            status, _, _ = self._ask(ingress, "POST", f"/x/{JOB_ID}", body)
+            self.assertEqual(status, expected)
+
     def test_bad_bodies_are_refused_whole(self):
         """Guards against a job of which a part was read."""
         bad = [
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -8,7 +8,7 @@
 
 from bench.addresses import find_address
 from egretcrank.clock import SystemClock
-from egretcrank.controller.committer import Committer, Submission
+from egretcrank.controller.committer import PROMPT_APPEND, Committer, Submission
 from egretcrank.controller.election import Appender
 from egretcrank.controller.link import PeerLink
 from egretcrank.controller.submissions import RETRY_INTERVAL, Submissions
@@ -145,7 +145,7 @@
             requests.append(request)
             answer(request.key == "j/1")
 
-        link = PeerLink(address, "leader", lambda report: None, append)
+        link = PeerLink(address, "leader", lambda report: None, append, lambda: True)
         self.addCleanup(link.close)
         start_loop("leader", link.run)
         submissions = Submissions("c", "127.0.0.1:1", SystemClock())
@@ -163,3 +163,50 @@
         answers: list[bool] = []
         submissions.take_request(AppendRequest(1, "j/1", b"x"), answers.append)
         self.assertEqual(answers, [False])
+
+
+class ProbeTests(AsyncTestCase):
+    """Whether a controller whose log is away may rely on the leader."""
+
+    def _build(self, accepts: bool) -> Submissions:
+        address = find_address()
+        link = PeerLink(
+            address,
+            "leader",
+            lambda report: None,
+            lambda request, answer: None,
+            lambda: accepts,
+        )
+        self.addCleanup(link.close)
+        start_loop("leader", link.run)
+        submissions = Submissions("c", "127.0.0.1:1", SystemClock())
+        submissions.follow(address)
+        self.addCleanup(submissions.close)
+        return submissions
+
+    def _probe(self, submissions: Submissions) -> bool:
+        """Probe until the connection is there; the first one may not be sent."""
+        return any(submissions.probe() for _ in range(25))
+
+    def test_the_answer_is_the_leaders(self):
+        """Guards against records for a leader that has no log either."""
+        self.assertTrue(self._probe(self._build(accepts=True)))
+        self.assertFalse(self._probe(self._build(accepts=False)))
+
+    def test_no_leader_is_no_help(self):
+        """Guards against callers who wait for a leader that nobody knows."""
+        submissions = Submissions("c", "127.0.0.1:1", ManualClock())
+        self.assertFalse(submissions.probe())
+
+    def test_a_leader_whose_append_hangs_takes_no_records(self):
+        """Guards against records whose outcome stays open while the log is away."""
+        committer, _ = build_committer()
+        self.assertTrue(committer.accepts)
+        clock: Any = committer._clock
+        committer._append_began = clock.boottime()
+        self.assertTrue(committer.accepts)
+        clock.advance(2 * PROMPT_APPEND)
+        self.assertFalse(committer.accepts)
+        committer._append_began = None
+        committer.stop()
+        self.assertFalse(committer.accepts)
