End a follower's pause for a caller whose job is not there yet

Change: for an unknown job a follower ends its pause and waits for the read, 150 ms at most; while a read waits for records, nothing is missing and nobody waits. Tests for both, and for the cancellation, which failed before.

--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -26,7 +26,7 @@
     RecordKind,
     encode_record,
 )
-from egretcrank.scheduling.table import JobTable
+from egretcrank.scheduling.table import JobEntry, JobTable
 
 # An unknown job may be missing only because this controller is behind the log.
 FRESH = timedelta(milliseconds=2500)
@@ -37,6 +37,8 @@
 HOLD_SHARE = 0.5
 # Longest wait for a leader that has just said that it appends at once.
 LEADER_HOLD = timedelta(seconds=1)
+# A read of the log that finds records is answered within a few milliseconds.
+REFRESH_TIMEOUT = timedelta(milliseconds=150)
 APPEND_PAUSE = timedelta(milliseconds=100)
 # Left of the caller's time for the answer to arrive.
 ANSWER_MARGIN = timedelta(milliseconds=150)
@@ -134,14 +136,14 @@
 
     def describe(self, job_id: str) -> Result[JobState, Problem]:
         """Return the state of a job."""
-        entry = self._table.find(job_id)
+        entry = self._find_entry(job_id)
         if entry is not None:
             return Success(JobState(entry.phase))
         return Failure(self._report_unknown(job_id))
 
     def cancel(self, job_id: str, limit: timedelta) -> Result[JobState, Problem]:
         """Cancel a job; one that has ended stays as it is."""
-        entry = self._table.find(job_id)
+        entry = self._find_entry(job_id)
         if entry is None:
             return Failure(self._report_unknown(job_id))
         if entry.phase.final:
@@ -154,6 +156,19 @@
         )
         return stored.map(lambda _: JobState(Phase.CANCELLED))
 
+    def _find_entry(self, job_id: str) -> JobEntry | None:
+        """Find a job, also one that another controller has just accepted.
+
+        Answers callers who ask for a job, or cancel it, right after it was accepted: a
+        follower reads the log in pauses, and to be told that there is no such job would
+        leave a cancelled one running.
+        """
+        entry = self._table.find(job_id)
+        if entry is None:
+            self._tail.refresh(REFRESH_TIMEOUT)
+            entry = self._table.find(job_id)
+        return entry
+
     def count_waiting(self, queue: Queue) -> int:
         """Count the accepted jobs of a queue of which no task has started."""
         return self._table.count_waiting(queue.name)
--- a/src/egretcrank/controller/tail.py
+++ b/src/egretcrank/controller/tail.py
@@ -48,7 +48,10 @@
         self._progress = threading.Condition()
         self._stopped = threading.Event()
         self._available = True
-        self._urgent = threading.Event()
+        # Guarded by ``_progress``.
+        self._urgent = False
+        self._pausing = False
+        self._refresh_due = False
         self.failing_since: timedelta | None = None
 
     @property
@@ -80,10 +83,32 @@
 
     def hurry(self, urgent: bool) -> None:
         """Read each record at once, as a leader needs it, or with pauses."""
-        if urgent:
-            self._urgent.set()
-        else:
-            self._urgent.clear()
+        with self._progress:
+            self._urgent = urgent
+            self._progress.notify_all()
+
+    def refresh(self, timeout: timedelta) -> None:
+        """End a pause, and wait up to ``timeout`` for records that came in it.
+
+        While a read waits for records, nothing is missing.
+        """
+        with self._progress:
+            if not self._pausing:
+                return
+            position = self.position
+            self._refresh_due = True
+            self._progress.notify_all()
+            self._progress.wait_for(
+                lambda: self.position > position, timeout.total_seconds()
+            )
+
+    def _pause(self) -> None:
+        with self._progress:
+            self._pausing = True
+            self._progress.wait_for(
+                lambda: self._urgent or self._refresh_due, FOLLOW_PAUSE.total_seconds()
+            )
+            self._pausing = self._refresh_due = False
 
     def run(self) -> None:
         """Follow until stopped."""
@@ -100,7 +125,7 @@
                         self._read_at = began
                         self._progress.notify_all()
                     if page.records:
-                        self._urgent.wait(FOLLOW_PAUSE.total_seconds())
+                        self._pause()
                 case Failure(Problem(kind=ErrorKind.NOT_FOUND)):
                     logger.info(
                         "history expired; reading the newest records",
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -232,10 +232,17 @@
     def __init__(self):
         self.age = timedelta()
         self.away = False
+        self.refreshes = 0
+        self.on_refresh = None
 
     def is_away(self):
         return self.away
 
+    def refresh(self, timeout):
+        self.refreshes += 1
+        if self.on_refresh is not None:
+            self.on_refresh()
+
     def find_outage(self):
         return timedelta(seconds=2 if self.away else 0)
 
@@ -413,6 +420,24 @@
         self.assertIn("Retry-After", headers)
         self.assertEqual(ingress._service._store._caller.calls, [])
 
+    def test_a_job_that_was_just_accepted_elsewhere_is_found(self):
+        """Guards against a 410 to a cancellation that leaves the job running.
+
+        A follower reads in pauses of 200 ms, in which the job is not in its table.
+        """
+        ingress = self._build(*[(200, b'{"offset":0,"end":1}')] * 2)
+        body = msgspec.json.encode(JOB)
+        self._ask(ingress, "POST", f"/x/{JOB_ID}", body)
+        record = ingress._service._store._caller.calls[0][2][4:]
+        key = record[1 : 1 + record[0]].decode()
+        stored = StoredValue(0, key, record[1 + record[0] :])
+        self.tail.on_refresh = lambda: self.table.fold(stored)
+        status, _, answer = self._ask(ingress, "DELETE", f"/x/{JOB_ID}")
+        self.assertEqual((status, answer["state"]), (200, "cancelled"))
+        self.assertEqual(self.tail.refreshes, 1)
+        self.assertEqual(self._ask(ingress, "GET", f"/x/{JOB_ID}")[0], 200)
+        self.assertEqual(self.tail.refreshes, 1)
+
     def test_no_configuration_yet(self):
         """Guards against a 404 from a controller that has just started."""
         ingress = self._build(manifest=None)
--- a/tests/test_tail.py
+++ b/tests/test_tail.py
@@ -66,3 +66,20 @@
         tail.stop()
         thread.join(TIMEOUT_SECONDS)
         self.assertFalse(thread.is_alive())
+
+    def test_a_pause_ends_for_a_caller_who_asks_for_what_is_not_there_yet(self):
+        """Guards against a job that seems unknown for as long as a pause."""
+        tail, store, _ = self._follow(LONG)
+        self.assertTrue(tail.wait_for(1, timedelta(seconds=TIMEOUT_SECONDS)))
+        while not tail._pausing:
+            threading.Event().wait(0.01)
+        tail.refresh(timedelta(seconds=TIMEOUT_SECONDS))
+        self.assertEqual(tail.position, 2)
+        self.assertEqual(store.reads, 2)
+
+    def test_nobody_waits_for_a_read_that_is_under_way(self):
+        """Guards against a wait for records of which there are none."""
+        store: Any = _Store()
+        tail = Tail(store, "t", 0, ManualClock(), lambda records: None)
+        tail.refresh(LONG)
+        self.assertEqual(store.reads, 0)
