Begin new jobs only while they can make it at the pace of their queue

Room beside serving tasks is short, and jobs were begun in order of their deadlines as long as their estimates fitted: each was begun with too little time left, and all were late. Order by deadline is known to do this under overload.

Change: policy.slowdown follows how much longer than estimated a queue's steps take, from the first start to the last end. A job that has not begun counts as late when it can't make it at that pace; one that has just come may always be begun. Jobs that have begun go first.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -12,6 +12,7 @@
 from egretcrank.clock import Clock
 from egretcrank.observability.metrics import Metrics
 from egretcrank.policy.sharing import PressureTable
+from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.changes import ChangeCollector, Changes
 from egretcrank.scheduling.definitions import parse_task_key
@@ -80,8 +81,14 @@
         self._runs = Runs(self.hosts, clock, metrics)
         self._pressures = PressureTable()
         self._changes = ChangeCollector()
+        self._slowdowns = Slowdowns()
         self._planner = Planner(
-            self._runs, self.hosts, self._pressures, self._find_queue, clock
+            self._runs,
+            self.hosts,
+            self._pressures,
+            self._find_queue,
+            self._slowdowns,
+            clock,
         )
         # Jobs before this offset may have been started by a former leader.
         self._fence_offset = 0
@@ -410,6 +417,9 @@
             task.checkpoint = ended.checkpoint
         if ended.how == "done" and not step.step.lasting:
             step.mark_done(index)
+            if step.complete and step.began_at is not None:
+                span = self._clock.boottime() - step.began_at
+                self._slowdowns.note(job.queue.name, span, step.step.estimate)
         if ended.how == "failed":
             task.failed_runs.add(ended.run)
         if ended.run > task.ended_run:
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -6,6 +6,7 @@
 
 from egretcrank.clock import Clock
 from egretcrank.policy.sharing import PressureTable
+from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.definitions import Step
 from egretcrank.scheduling.hosts import HostState
@@ -34,12 +35,14 @@
         hosts: Mapping[str, HostState],
         pressures: PressureTable,
         find_queue: Callable[[Job], Queue],
+        slowdowns: Slowdowns,
         clock: Clock,
     ) -> None:
         self._runs = runs
         self._hosts = hosts
         self._pressures = pressures
         self._find_queue = find_queue
+        self._slowdowns = slowdowns
         self._clock = clock
         self._moved_at = timedelta()
         self._filled_at = timedelta()
@@ -57,7 +60,10 @@
         if fill:
             self._filled_at = now
         room = find_room(usable)
-        for step in order_steps(jobs, self._find_queue, self._clock.now()):
+        ordered = order_steps(
+            jobs, self._find_queue, self._slowdowns, self._clock.now()
+        )
+        for step in ordered:
             if step.step.fills and not fill:
                 continue
             if room.may_hold(step.step) and not self._place(step, usable):
--- a/src/egretcrank/scheduling/runs.py
+++ b/src/egretcrank/scheduling/runs.py
@@ -44,6 +44,9 @@
         step.waiting.discard(index)
         step.tasks[index].run = max(step.tasks[index].run, run)
         step.spread[host.name] = step.spread.get(host.name, 0) + 1
+        if step.began_at is None:
+            step.began_at = self._clock.boottime()
+        step.job.begun = True
         step.job.active_runs += 1
         step.job.idle_since = None
         host.tasks.add(key)
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -89,6 +89,8 @@
         self.tasks = [Task() for _ in range(step.width)]
         self.waiting = set(range(step.width))
         self.done = 0
+        # When its first task was placed, under this leader.
+        self.began_at: timedelta | None = None
         # Number of runs by host, for the spread limit.
         self.spread: dict[str, int] = {}
 
@@ -153,6 +155,8 @@
         self.phase = Phase.QUEUED
         self.ended_at: datetime | None = None
         self.occurrences: dict[int, list[StepState]] = {}
+        # Whether any of its tasks has ever been placed.
+        self.begun = False
         # Runs that hold capacity, and since when there is none.
         self.active_runs = 0
         self.idle_since: timedelta | None = None
@@ -216,6 +220,7 @@
     def restore(self, progress: ProgressRecord) -> None:
         """Take over the progress that is on the log."""
         self.phase = progress.phase
+        self.begun = progress.phase is not Phase.QUEUED
         if progress.ended_at:
             self.ended_at = datetime.fromtimestamp(progress.ended_at, UTC)
         for occurrence, records in progress.occurrences.items():
