--- a/bench/leader.py
+++ b/bench/leader.py
@@ -10,10 +10,11 @@
 import time
 from collections import Counter, defaultdict
 from collections.abc import Callable, Sequence
-from datetime import UTC, datetime, timedelta
+from datetime import timedelta
 from functools import partial
 from typing import NamedTuple, TypeVar
 
+from bench.policy.world import SimulatedClock
 from egretcrank.observability.metrics import Metrics
 from egretcrank.scheduling.catalog import Catalog, Queue, Service
 from egretcrank.scheduling.cell import Cell
@@ -32,6 +33,7 @@
     find_job,
 )
 
+START = timedelta(seconds=100)
 TICK = timedelta(milliseconds=25)
 REPORT_INTERVAL = timedelta(milliseconds=500)
 FULL_INTERVAL = timedelta(seconds=1)
@@ -47,23 +49,6 @@
 ResultT = TypeVar("ResultT")
 
 
-class _Clock:
-    def __init__(self) -> None:
-        self.elapsed = timedelta(seconds=100)
-
-    def now(self) -> datetime:
-        return datetime(2026, 1, 1, tzinfo=UTC) + self.elapsed
-
-    def monotonic(self) -> timedelta:
-        return self.elapsed
-
-    def boottime(self) -> timedelta:
-        return self.elapsed
-
-    async def sleep(self, delay: timedelta) -> None:
-        raise NotImplementedError
-
-
 class _Run(NamedTuple):
     run: int
     ends_at: timedelta
@@ -83,7 +68,7 @@
         self.specs: dict[str, str] = {}
         self.ends = 0
         self.epoch = self.session = self.applied = self.sequence = 0
-        self.report_at = timedelta(seconds=100 + phase)
+        self.report_at = START + timedelta(seconds=phase)
         self.full_at = timedelta()
         self.urgent = False
 
@@ -215,7 +200,9 @@
 def measure(hosts: int, seconds: float, seed: int) -> dict[str, float]:
     """Return milliseconds a second by part, starts a second and open tasks."""
     dice = random.Random(seed)
-    clock = _Clock()
+    clock = SimulatedClock()
+    # Reports and leases are counted back from now.
+    clock.elapsed = START
     table = JobTable()
     cell = Cell(CellSettings(), clock, table, 1, Metrics())
     cell.catalog = Catalog(1, QUEUES, {"s": Service("s")})
--- a/src/egretcrank/controller/election.py
+++ b/src/egretcrank/controller/election.py
@@ -99,7 +99,7 @@
         return Success(NO_MEMBERSHIP)
 
     def _check_room(self, owners: tuple[SlotOwner, ...]) -> Membership:
-        members = {owner.member for owner in owners if owner.member}
+        members = _list_members(owners)
         if len(members) < MOST_OCCUPANCY * len(owners) or not owners:
             logger.info("group has room", extra={"members": len(members)})
             self._observe_at = None
@@ -130,7 +130,7 @@
         )
 
     def _evict(self, owners: Iterable[SlotOwner], address: str) -> None:
-        for member in {owner.member for owner in owners}:
+        for member in _list_members(owners):
             if member != self._member and is_member_at(member, address):
                 logger.info("former life leaves the group", extra={"member": member})
                 self._remove(member)
@@ -166,7 +166,7 @@
 
     def _is_full(self) -> bool:
         """Tell whether each slot is held by another member."""
-        members = {owner.member for owner in self._owners if owner.member}
+        members = _list_members(self._owners)
         if not members or self._member in members:
             return False
         return len(members) >= len(self._owners)
@@ -182,6 +182,11 @@
                 logger.warning("leaving failed", extra={"problem": problem.detail})
 
 
+def _list_members(owners: Iterable[SlotOwner]) -> set[str]:
+    """List the members that hold a slot."""
+    return {owner.member for owner in owners if owner.member}
+
+
 class Appender:
     """Appends under an epoch, each record once, and proves the leadership by it."""
 
--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -239,10 +239,9 @@
         """Append a record by the leader alone, while the log is away from here."""
         hold = min(limit - ANSWER_MARGIN, LEADER_HOLD)
         match self._submissions.submit(key.format(), value, hold):
-            case Failure(Problem(kind=ErrorKind.CALL_TIMEOUT) as doubt):
-                return Failure(_choose_problem(doubt, doubt))
             case Failure(problem):
-                return Failure(_choose_problem(None, problem))
+                doubt = problem if problem.kind is ErrorKind.CALL_TIMEOUT else None
+                return Failure(_choose_problem(doubt, problem))
         return Success(None)
 
 
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -21,7 +21,8 @@
 # A page of newest records holds up to 1 MB.
 PAGE_TIMEOUT = timedelta(seconds=3)
 CONNECTIONS = 8
-# Slots that each topic of a group may have; the platform gives a topic 8 partitions.
+# Slots that each topic of a group may have; the platform gives a topic 8 or 16
+# partitions.
 TOPIC_SLOTS = 64
 
 _LENGTH = struct.Struct(">I")
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -512,11 +512,10 @@
         for host in self.hosts.values():
             if not host.incarnation:
                 continue
-            due = host.attached and host.outbox.is_due(now)
-            if not host.reply_due and not due:
+            batch = host.outbox.take(now) if host.attached else EMPTY_BATCH
+            if not host.reply_due and not batch.orders:
                 continue
             host.reply_due = False
-            batch = host.outbox.take(now) if due else EMPTY_BATCH
             if host.attached and authority > timedelta():
                 # The agent counts from the sending of its last report.
                 granted = host.reported_at + authority
--- a/src/egretcrank/scheduling/ordering.py
+++ b/src/egretcrank/scheduling/ordering.py
@@ -46,8 +46,9 @@
             ready = [step for step in steps if _is_ready(step, steps)]
             if not ready:
                 continue
-            lateness = _find_lateness(job, number, queue, slowdowns, now)
             deadline = job.find_deadline(number, queue)
+            slowdown = slowdowns.find(queue.name)
+            lateness = _find_lateness(job, number, deadline, slowdown, now)
             for step in ready:
                 turn = _Turn(
                     queue.priority,
@@ -62,15 +63,16 @@
 
 
 def _find_lateness(
-    job: Job, number: int, queue: Queue, slowdowns: Slowdowns, now: datetime
+    job: Job, number: int, deadline: datetime, slowdown: float, now: datetime
 ) -> int:
     """Return 0 for what can be in time, 1 for what will be late, 2 for too late."""
-    due, deadline = job.due_at(number), job.find_deadline(number, queue)
+    due = job.due_at(number)
+    objective = deadline - due
     remaining = job.find_remaining(number)
-    if now + remaining > due + LATE_FACTOR * (deadline - due):
+    if now + remaining > due + LATE_FACTOR * objective:
         return 2
     if not job.begun:
-        remaining = _expect(remaining, deadline - due, slowdowns.find(queue.name))
+        remaining = _expect(remaining, objective, slowdown)
     return int(now + remaining > deadline)
 
 
--- a/src/egretcrank/transport/client.py
+++ b/src/egretcrank/transport/client.py
@@ -12,7 +12,8 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.transport.server import MAX_MESSAGE_BYTES
 from egretcrank.transport.traffic import Traffic
-from egretcrank.wire.codec import Delivery, decode, encode, parse_refusal
+from egretcrank.wire.codec import decode, encode, parse_refusal
+from egretcrank.wire.envelope import Delivery
 from egretcrank.wire.messages import Message, Ping, Refused
 
 CONNECT_TIMEOUT = timedelta(seconds=1)
--- a/src/egretcrank/transport/server.py
+++ b/src/egretcrank/transport/server.py
@@ -10,7 +10,8 @@
 
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.transport.traffic import Traffic
-from egretcrank.wire.codec import Delivery, build_refusal, decode, encode
+from egretcrank.wire.codec import build_refusal, decode, encode
+from egretcrank.wire.envelope import Delivery
 from egretcrank.wire.messages import Acknowledged, Message, Ping
 
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
--- a/src/egretcrank/wire/codec.py
+++ b/src/egretcrank/wire/codec.py
@@ -4,11 +4,9 @@
 from typing import get_args
 
 from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.wire.envelope import Codec, Delivery
+from egretcrank.wire.envelope import Codec
 from egretcrank.wire.messages import Message, Refused
 
-__all__ = ["Delivery", "build_refusal", "decode", "encode", "parse_refusal"]
-
 _codec = Codec(get_args(Message))
 encode = _codec.encode
 decode = _codec.decode
