--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS ?= 240
 SOAK_SECONDS ?= 30
 
-.PHONY: install run smoke test format lint types check prove soak bench-requests bench-policy bench-leader slopes pages
+.PHONY: install run smoke test format lint types check prove soak bench-requests bench-policy bench-leader bench-placement slopes pages
 
 install: $(VENV)/.installed
 
@@ -46,6 +46,9 @@
 bench-leader: install
 	$(BIN)/python -m bench.leader --seed $(SEED)
 
+bench-placement: install
+	$(BIN)/python -m bench.placement --seed $(SEED)
+
 slopes: install
 	$(BIN)/python -m bench.slopes
 
--- /dev/null
+++ b/bench/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the placement and pace decisions on simulated hosts."""
