Let idle jobs wait for a host where they get on while the hosts are busy

Cause: under overload nearly every wide job was begun by one run a second after it came, on any host (MAX_JOB_IDLE). That run hardly got on, took headroom from those that could, and counted the job as begun, so that the order "begun first" said nothing. An idle job is now begun in spite of a low gain only while less than half of the processors are reserved. Ruled out: the threshold of the gain (0.4 and 0.65 in place of 0.5: within the noise).

--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -80,6 +80,13 @@
     )
 
 
+def find_busy_share(hosts: Sequence[HostState]) -> float:
+    """Return the share of all processors that running tasks have reserved."""
+    capacity = sum(host.runner.cpu for host in hosts if host.runner is not None)
+    busy = sum(host.used_cpu + host.reserved_best_effort_cpu for host in hosts)
+    return busy / capacity if capacity else 1.0
+
+
 class Ranking:
     """Hosts that can run tasks of one step now, best first.
 
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -12,13 +12,19 @@
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves
 from egretcrank.scheduling.ordering import order_steps
-from egretcrank.scheduling.placement import Ranking, find_max_free
+from egretcrank.scheduling.placement import (
+    Ranking,
+    find_busy_share,
+    find_max_free,
+)
 from egretcrank.scheduling.runs import Runs
 from egretcrank.scheduling.tasks import Job, StepState
 from egretcrank.wire.hosting import StartOrder, TaskProfile
 
-# A job without a running task for this long gets one even if its gain is low.
+# A job without a running task for this long gets one even if its gain is low, while the
+# hosts are mostly free.
 MAX_JOB_IDLE = timedelta(seconds=1)
+MAX_BUSY_SHARE = 0.5
 # Best-effort tasks are placed at most once per interval, as ranking hosts for them is
 # the most expensive decision: 63% of the host selection time in a profile of 72 hosts.
 # The delay is short next to the seconds for which they wait for tail latency to fall.
@@ -77,16 +83,18 @@
         for index in sorted(step.waiting):
             candidate = ranking.best
             if candidate is None or not (
-                candidate.worthwhile or self._is_starved(step.job)
+                candidate.worthwhile or self._is_starved(step.job, usable)
             ):
                 return False
             self._start(step, index, candidate.host)
             ranking.rerank_best()
         return True
 
-    def _is_starved(self, job: Job) -> bool:
-        """Return whether a job has been idle for longer than ``MAX_JOB_IDLE``.
+    def _is_starved(self, job: Job, usable: Sequence[HostState]) -> bool:
+        """Return whether a job has long been idle although most capacity is free.
 
+        Under overload it waits for a host where it gets on. A single slow task of each
+        waiting job would end none of them sooner, and slow down those that are running.
         Starts the idle time of a job that has had no run under this leader.
         """
         if job.idle_since is None and not job.active_runs:
@@ -94,6 +102,7 @@
         return (
             job.idle_since is not None
             and self._clock.boottime() - job.idle_since > MAX_JOB_IDLE
+            and find_busy_share(usable) < MAX_BUSY_SHARE
         )
 
     def _move(self, usable: list[HostState], now: timedelta) -> None:
