Follow the trend of each serving job's load when pressures are estimated

Cause: pressures were learned from changes between two samples, in which the load of the serving tasks counted as noise of 0.2. Loads swing by 0.21 within 10 s, so one start of a heavy task (0.18) told next to nothing, and images stayed unknown for 20 s and more; unknown ones wait. The tasks of one job swing together (trial, residual 0.06 after a fit of one phase a job). A filter now tracks level and trend of each job's load on the host, beside the pressures, on averaged tails; paces use the load 0.4 s ahead.

--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -47,6 +47,9 @@
 # later.
 MEASUREMENT_INTERVAL = timedelta(milliseconds=250)
 
+# A pace set now takes effect, and shows in the tail latency, after about this time.
+LOAD_LOOKAHEAD = timedelta(milliseconds=400)
+
 
 class PaceChange(NamedTuple):
     """A pace to set on a run, in percent of its full speed."""
@@ -63,6 +66,8 @@
     # Ratio of tail latency to target as averaged by the runner. In ``ratio`` the
     # averaging is undone.
     tail: float
+    # Ratio that one millisecond makes.
+    resolution: float
 
 
 class _BestEffortTask(NamedTuple):
@@ -146,7 +151,10 @@
         best_effort: list[_BestEffortTask],
         at: timedelta,
     ) -> None:
-        tasks = [SharingTask(s.name, s.image, ratio=s.ratio) for s in serving]
+        tasks = [
+            SharingTask(s.name, s.image, ratio=s.tail, resolution=s.resolution)
+            for s in serving
+        ]
         tasks += [
             SharingTask(
                 b.running.task,
@@ -155,8 +163,8 @@
             )
             for b in best_effort
         ]
-        self._model.observe("", tasks, at)
-        headrooms = self._model.find_headrooms("", tasks, HEADROOM_RATIO)
+        self._model.observe(tasks, at)
+        headrooms = self._model.find_headrooms(tasks, HEADROOM_RATIO)
         self.headrooms = tuple(ServingHeadroom(*item) for item in headrooms.items())
 
     def _is_over_target_too_long(
@@ -183,7 +191,7 @@
         headroom: dict[str, float] = {}
         for task in serving:
             limit = self._model.find_utilization(task.image, TARGET_RATIO)
-            load = self._model.estimate_load("", task.name)
+            load = self._model.estimate_load(task.name, LOAD_LOOKAHEAD)
             left = max(0.0, limit - load - self._margins[task.name])
             headroom[task.image] = min(headroom.get(task.image, left), left)
         return headroom
@@ -232,7 +240,9 @@
             target = profile.target_milliseconds
             tail = tails.get(Run(task.task, task.run), task.measurement) / target
             ratio = task.measurement / target
-            serving.append(_ServingTask(task.task, profile.image, ratio, tail))
+            serving.append(
+                _ServingTask(task.task, profile.image, ratio, tail, 1 / target)
+            )
         elif profile.best_effort:
             best_effort.append(_BestEffortTask(task, profile))
     return serving, best_effort
--- a/src/egretcrank/policy/regression.py
+++ b/src/egretcrank/policy/regression.py
@@ -43,6 +43,31 @@
             row.append(0.0)
         self.covariance.append([0.0] * size + [prior.deviation**2])
 
+    def remove(self, kind: str) -> None:
+        """Remove the coefficient of ``kind``; what was learned of others stays."""
+        i = self.index.pop(kind)
+        del self.means[i]
+        del self.covariance[i]
+        for row in self.covariance:
+            del row[i]
+        self.index = {k: n - (n > i) for k, n in self.index.items()}
+
+    def widen(self, kind: str, variance: float) -> None:
+        """Add the variance of an independent change of the coefficient of ``kind``."""
+        i = self.index[kind]
+        self.covariance[i][i] += variance
+
+    def shift(self, kind: str, source: str, factor: float) -> None:
+        """Add ``factor`` times the coefficient of ``source`` to that of ``kind``."""
+        i, j = self.index[kind], self.index[source]
+        self.means[i] += factor * self.means[j]
+        added = [factor * value for value in self.covariance[j]]
+        self.covariance[i] = [
+            a + b for a, b in zip(self.covariance[i], added, strict=True)
+        ]
+        for row in self.covariance:
+            row[i] += factor * row[j]
+
     def add_drift(self, time: timedelta) -> None:
         """Widen the uncertainty by the drift since the last call.
 
--- a/src/egretcrank/policy/sharing.py
+++ b/src/egretcrank/policy/sharing.py
@@ -7,13 +7,14 @@
 additive in ``u``, but not in the tail latency.
 """
 
+import math
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
 from egretcrank.policy.regression import BASELINE, Estimate, LinearFilter
-from egretcrank.wire.hosting import Pressure
+from egretcrank.wire.hosting import Pressure, find_job
 
 # From this utilization on, the tail latency shows only that the queue is saturated.
 SATURATED_UTILIZATION = 0.97
@@ -23,18 +24,21 @@
 MIN_UNLOADED_RATIO = 0.05
 # Weight of a new ratio in the moving average from which the unloaded ratio is taken.
 RATIO_EWMA_WEIGHT = 0.15
-# Initial estimate of a serving task's own load.
-PRIOR_LOAD = 0.5
+# Initial estimates of the load of a job's serving tasks, and of its change per second.
+PRIOR_LOAD = Estimate(0.5, 0.25)
+PRIOR_TREND = Estimate(0.0, 0.1)
+# Variance that the load and its trend gain in a second.
+LEVEL_CHANGE_VARIANCE = 0.01**2
+TREND_CHANGE_VARIANCE = 0.12**2
+# A trend is not followed for longer without measurements.
+MAX_TREND_SECONDS = 1.0
+# Standard deviation of a utilization, besides the resolution of the tail latency.
+MEASUREMENT_DEVIATION = 0.03
 # Pressure of a pair of images that was not observed yet, in utilization per core.
 PRIOR_PRESSURE = Estimate(0.04, 0.05)
-# Pressures are estimated from changes between two samples. A serving task's own load
-# fluctuates over many seconds; within these intervals it changes with about this
-# standard deviation.
-MIN_SAMPLE_INTERVAL = timedelta(milliseconds=400)
-MAX_SAMPLE_INTERVAL = timedelta(milliseconds=2500)
-LOAD_CHANGE_DEVIATION = 0.2
-# Weight of a new sample in the moving average of a serving task's own load.
-LOAD_EWMA_WEIGHT = 0.5
+# Time constant of the average over cores in use, like that of the tail latencies.
+CORES_AVERAGING_TIME = timedelta(milliseconds=450)
+MIN_CORES = 0.01
 # Lower limit of the deviation taken from one host, as its samples are not independent.
 MIN_DEVIATION = 0.01
 # A pair is reported once its deviation is below this ratio of the prior's deviation.
@@ -49,6 +53,9 @@
 REFRESH_INTERVAL = timedelta(seconds=10)
 
 NO_BASELINE = Estimate(0.0, 1e-6)
+# Prefixes of the coefficients of a job's load; others are named by best-effort image.
+LEVEL_PREFIX = "level:"
+TREND_PREFIX = "trend:"
 
 
 class _PrecisionSum(NamedTuple):
@@ -67,19 +74,15 @@
     """A run on a host with its latest measurements.
 
     ``ratio`` is the tail latency over the target of a serving task, 0 for others;
-    ``cores`` is the number of cores in use by a best-effort task, 0 for others.
+    ``resolution`` is the ratio that one unit of its measurement makes. ``cores`` is the
+    number of cores in use by a best-effort task, 0 for others.
     """
 
     name: str
     image: str
     ratio: float = 0.0
     cores: float = 0.0
-
-
-class _Sample(NamedTuple):
-    at: timedelta
-    utilizations: dict[str, float]
-    best_effort_cores: dict[str, float]
+    resolution: float = 0.0
 
 
 def sum_best_effort_cores(tasks: Iterable[SharingTask]) -> dict[str, float]:
@@ -92,106 +95,99 @@
 
 
 class SharingModel:
-    """Estimates the pressure of each best-effort image on each serving image."""
+    """Estimates the load of a host's serving tasks and the pressures on them.
+
+    The tasks of one job serve the same users, so their loads rise and fall together.
+    The load of each job follows its own trend, which tells a change of the load from
+    the effect of a best-effort task that starts or is paced.
+    """
 
     def __init__(self) -> None:
         self._filters: dict[str, LinearFilter] = {}
         self._unloaded_ratios: dict[str, float] = {}
-        self._samples: dict[str, _Sample] = {}
-        self._loads: dict[str, dict[str, float]] = {}
-        self._averages: dict[str, dict[str, float]] = {}
-
-    def observe(self, host: str, tasks: Iterable[SharingTask], at: timedelta) -> None:
-        """Update the estimates with the measurements of one host at one time."""
+        self._averages: dict[str, float] = {}
+        # Cores by best-effort image, averaged like the tail latencies.
+        self._cores: dict[str, float] = {}
+        self._jobs: dict[str, str] = {}
+        self._observed_at: timedelta | None = None
+
+    def observe(self, tasks: Iterable[SharingTask], at: timedelta) -> None:
+        """Update the estimates with the measurements of all tasks at one time."""
         known = list(tasks)
-        best_effort_cores = sum_best_effort_cores(known)
         serving = [task for task in known if task.ratio > 0]
-        self._update_unloaded_ratios(host, serving)
-        utilizations = {
-            task.name: self.find_utilization(task.image, task.ratio) for task in serving
-        }
-        before = self._samples.get(host)
-        if before is None or at - before.at >= MIN_SAMPLE_INTERVAL:
-            self._samples[host] = _Sample(at, utilizations, best_effort_cores)
-            if before is not None and at - before.at <= MAX_SAMPLE_INTERVAL:
-                for task in serving:
-                    self._update_filter(task, before, self._samples[host])
-        self._update_loads(host, serving, utilizations, best_effort_cores)
-
-    def _update_unloaded_ratios(self, host: str, serving: list[SharingTask]) -> None:
+        elapsed = at - (self._observed_at or at)
+        self._observed_at = at
+        self._average_cores(sum_best_effort_cores(known), elapsed)
+        self._update_unloaded_ratios(serving)
+        by_job: defaultdict[str, list[SharingTask]] = defaultdict(list)
+        for task in serving:
+            by_job[find_job(task.name)].append(task)
+        self._remove_jobs(by_job)
+        for model in self._filters.values():
+            _advance(model, elapsed / timedelta(seconds=1))
+        for job, job_tasks in by_job.items():
+            self._observe_job(job, job_tasks)
+
+    def _average_cores(self, cores: Mapping[str, float], elapsed: timedelta) -> None:
+        weight = 1 - math.exp(-(elapsed / CORES_AVERAGING_TIME))
+        for image in self._cores.keys() | cores.keys():
+            known = self._cores.get(image, 0.0)
+            average = known + weight * (cores.get(image, 0.0) - known)
+            self._cores[image] = average
+        self._cores = {i: c for i, c in self._cores.items() if c > MIN_CORES}
+
+    def _update_unloaded_ratios(self, serving: list[SharingTask]) -> None:
         """Track the lowest smoothed ratio of each image.
 
         Ratios are smoothed first because single measurements are too noisy.
         """
-        before = self._averages.get(host, {})
         averages: dict[str, float] = {}
         for task in serving:
-            known = before.get(task.name, task.ratio)
+            known = self._averages.get(task.name, task.ratio)
             average = known + RATIO_EWMA_WEIGHT * (task.ratio - known)
             averages[task.name] = average
             unloaded = self._unloaded_ratios.get(task.image, PRIOR_UNLOADED_RATIO)
             self._unloaded_ratios[task.image] = max(
                 MIN_UNLOADED_RATIO, min(unloaded, average)
             )
-        self._averages[host] = averages
-
-    def _update_filter(
-        self, task: SharingTask, before: _Sample, after: _Sample
-    ) -> None:
-        old = before.utilizations.get(task.name)
-        if old is None:
-            return
-        changes = {
-            image: after.best_effort_cores.get(image, 0.0)
-            - before.best_effort_cores.get(image, 0.0)
-            for image in before.best_effort_cores.keys()
-            | after.best_effort_cores.keys()
-        }
-        new = after.utilizations[task.name]
-        model = self._prepare_filter(task.image, changes)
-        expected = model.predict(changes)
-        # A saturated sample bounds the change on one side only, and two saturated ones
-        # not at all. Use such a change only if the prediction violates the bound.
-        if new >= SATURATED_UTILIZATION and (
-            old >= SATURATED_UTILIZATION or expected > new - old
-        ):
-            return
-        if old >= SATURATED_UTILIZATION and expected < new - old:
+        self._averages = averages
+
+    def _remove_jobs(self, present: Iterable[str]) -> None:
+        for job in self._jobs.keys() - set(present):
+            model = self._filters[self._jobs.pop(job)]
+            model.remove(LEVEL_PREFIX + job)
+            model.remove(TREND_PREFIX + job)
+
+    def _observe_job(self, job: str, tasks: list[SharingTask]) -> None:
+        image = tasks[0].image
+        model = self._prepare_filter(image, job)
+        utilization = sum(self.find_utilization(image, t.ratio) for t in tasks)
+        utilization /= len(tasks)
+        inputs = {LEVEL_PREFIX + job: 1.0, **self._cores}
+        saturated = utilization >= SATURATED_UTILIZATION
+        # A saturated queue shows only that the utilization is at least that high.
+        if saturated and model.predict(inputs) >= SATURATED_UTILIZATION:
             return
-        model.update(changes, new - old, LOAD_CHANGE_DEVIATION**2)
+        unloaded = self._unloaded_ratios.get(image, PRIOR_UNLOADED_RATIO)
+        ratio = sum(task.ratio for task in tasks) / len(tasks)
+        resolution = tasks[0].resolution * unloaded / max(ratio, unloaded) ** 2
+        noise = MEASUREMENT_DEVIATION**2 + resolution**2 / 12
+        model.update(inputs, utilization, noise)
 
-    def _prepare_filter(self, serving: str, images: Iterable[str]) -> LinearFilter:
+    def _prepare_filter(self, serving: str, job: str) -> LinearFilter:
         model = self._filters.get(serving)
         if model is None:
             model = LinearFilter(NO_BASELINE)
             self._filters[serving] = model
-        for image in images:
+        for image in self._cores:
             if image not in model.index:
                 model.add(image, PRIOR_PRESSURE)
+        if job not in self._jobs:
+            self._jobs[job] = serving
+            model.add(LEVEL_PREFIX + job, PRIOR_LOAD)
+            model.add(TREND_PREFIX + job, PRIOR_TREND)
         return model
 
-    def _update_loads(
-        self,
-        host: str,
-        serving: list[SharingTask],
-        utilizations: Mapping[str, float],
-        best_effort_cores: Mapping[str, float],
-    ) -> None:
-        before = self._loads.get(host, {})
-        loads: dict[str, float] = {}
-        for task in serving:
-            known = before.get(task.name, PRIOR_LOAD)
-            utilization = utilizations[task.name]
-            loads[task.name] = known
-            if utilization < SATURATED_UTILIZATION:
-                induced = sum(
-                    self.estimate_pressure(image, task.image).mean * cores
-                    for image, cores in best_effort_cores.items()
-                )
-                own = max(0.0, utilization - induced)
-                loads[task.name] = known + LOAD_EWMA_WEIGHT * (own - known)
-        self._loads[host] = loads
-
     def find_utilization(self, serving: str, ratio: float) -> float:
         """Return the utilization implied by a ratio, from 0 to below 1.
 
@@ -217,12 +213,13 @@
             for serving, model in self._filters.items()
             for best_effort in model.index
             if best_effort != BASELINE
+            and not best_effort.startswith((LEVEL_PREFIX, TREND_PREFIX))
             and (estimate := self.estimate_pressure(best_effort, serving)).deviation
             < PRIOR_PRESSURE.deviation * KNOWN_DEVIATION_RATIO
         )
 
     def find_headrooms(
-        self, host: str, tasks: Iterable[SharingTask], ratio: float
+        self, tasks: Iterable[SharingTask], ratio: float
     ) -> dict[str, float]:
         """Return the utilization that best-effort tasks may add to each serving image.
 
@@ -233,13 +230,31 @@
         for task in tasks:
             if task.ratio > 0:
                 limit = self.find_utilization(task.image, ratio)
-                left = limit - self.estimate_load(host, task.name)
+                left = limit - self.estimate_load(task.name)
                 headrooms[task.image] = min(headrooms.get(task.image, left), left)
         return headrooms
 
-    def estimate_load(self, host: str, name: str) -> float:
-        """Return the utilization by a serving task's own load."""
-        return self._loads.get(host, {}).get(name, PRIOR_LOAD)
+    def estimate_load(self, name: str, ahead: timedelta = timedelta()) -> float:
+        """Return the utilization by a serving task's own load, ``ahead`` from now."""
+        job = find_job(name)
+        if job not in self._jobs:
+            return PRIOR_LOAD.mean
+        model = self._filters[self._jobs[job]]
+        level = model.means[model.index[LEVEL_PREFIX + job]]
+        trend = model.means[model.index[TREND_PREFIX + job]]
+        return max(0.0, level + trend * (ahead / timedelta(seconds=1)))
+
+
+def _advance(model: LinearFilter, seconds: float) -> None:
+    """Let the loads follow their trends, and widen their uncertainty."""
+    if seconds <= 0:
+        return
+    seconds = min(seconds, MAX_TREND_SECONDS)
+    for kind in [k for k in model.index if k.startswith(LEVEL_PREFIX)]:
+        trend = TREND_PREFIX + kind.removeprefix(LEVEL_PREFIX)
+        model.shift(kind, trend, seconds)
+        model.widen(kind, LEVEL_CHANGE_VARIANCE * seconds)
+        model.widen(trend, TREND_CHANGE_VARIANCE * seconds)
 
 
 class PressureTable:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,8 +1,10 @@
 """Tests of the interference model of best-effort and serving tasks, and of paces."""
 
+import math
 from datetime import timedelta
 
 from egretcrank.agent.pace import MAX_TIME_OVER_TARGET, PaceController
+from egretcrank.policy.regression import Estimate
 from egretcrank.policy.sharing import (
     PRIOR_PRESSURE,
     REFRESH_INTERVAL,
@@ -41,13 +43,54 @@
             ratio = compute_tail(0.4, pressures, cores) / TARGET
             tasks = [SharingTask("s", "serving", ratio=ratio)]
             tasks += [SharingTask(i, i, cores=c) for i, c in cores.items()]
-            model.observe("h", tasks, at)
+            model.observe(tasks, at)
             at += SECOND
         heavy = model.estimate_pressure("heavy", "serving")
         light = model.estimate_pressure("light", "serving")
         self.assertGreater(heavy.mean, 0.08)
         self.assertLess(light.mean, 0.03)
 
+    def _observe_swinging_host(self, pressure: float, starts: int) -> Estimate:
+        """Observe a best-effort task that starts and ends beside a swinging load."""
+        model = SharingModel()
+        at, tick = timedelta(), timedelta(milliseconds=250)
+        for step in range(starts * 24):
+            load = 0.43 + 0.21 * math.sin(2 * math.pi * (at / SECOND) / 10)
+            cores = 1.8 if step % 24 >= 12 else 0.0
+            tail = UNLOADED_TAIL / (1 - min(load + pressure * cores, 0.99))
+            ratio = round(tail) / TARGET
+            tasks = [SharingTask("j.0.0.0", "serving", ratio, resolution=1 / TARGET)]
+            if cores:
+                tasks.append(SharingTask("b.0.0.0", "batch", cores=cores))
+            model.observe(tasks, at)
+            at += tick
+        return model.estimate_pressure("batch", "serving")
+
+    def test_a_pair_is_known_after_a_few_starts_beside_a_swinging_load(self):
+        """Guards against work that waits half a minute because its image is unknown.
+
+        A load that swings by half within 10 s hid the effect of single starts, and wide
+        jobs waited while half of the processors were unused.
+        """
+        heavy = self._observe_swinging_host(0.11, starts=3)
+        light = self._observe_swinging_host(0.01, starts=3)
+        self.assertGreater(heavy.mean - heavy.deviation, 0.06)
+        self.assertLess(light.mean + light.deviation, 0.06)
+
+    def test_the_load_is_predicted_along_its_trend(self):
+        """Guards against paces that follow a rising load half a second late."""
+        model = SharingModel()
+        at = timedelta()
+        for step in range(17):
+            load = 0.3 + 0.1 * step * 0.25
+            ratio = UNLOADED_TAIL / (1 - load) / TARGET
+            model.observe([SharingTask("j.0.0.0", "serving", ratio)], at)
+            at += timedelta(milliseconds=250)
+        now = model.estimate_load("j.0.0.0")
+        ahead = model.estimate_load("j.0.0.0", SECOND)
+        self.assertGreater(ahead - now, 0.06)
+        self.assertLess(ahead - now, 0.14)
+
     def test_an_unknown_pair_has_the_prior(self):
         """Guards against placing an unknown image as if it were harmless."""
         self.assertEqual(
