Estimate the gain of a task as agents set paces, lightest image first

Cause: the gain counted all best-effort tasks of a host as slowed down alike. Agents slow down those that interfere most. The test fails without it.

--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -245,33 +245,44 @@
     cpu = max(step.cpu, 1)
     before = host.best_effort_images
     after = before + Counter({step.image: cpu})
-    work_with = (host.reserved_best_effort_cpu + cpu) * _estimate_speed(
-        after, host, pressures
-    )
-    work_without = host.reserved_best_effort_cpu * _estimate_speed(
-        before, host, pressures
-    )
+    work_with = _estimate_throughput(after, host, pressures)
+    work_without = _estimate_throughput(before, host, pressures)
     return (work_with - work_without) / cpu
 
 
-def _estimate_speed(
+def _estimate_throughput(
     demand_by_image: Mapping[str, int], host: HostState, pressures: PressureTable
 ) -> float:
-    """Return the estimated speed of a host's best-effort tasks, from 0 to 1 (full).
+    """Return the millicores that a host's best-effort tasks are likely to use.
 
-    Each image counts with all processors reserved for it and with the upper estimate of
-    its interference (mean plus deviation), so that an unknown image is spread.
+    Headroom goes to the images that interfere least first, as agents set paces. Each
+    image counts with all processors reserved for it and with the upper estimate of its
+    interference (mean plus deviation), so that an unknown image is spread.
     """
-    demand = sum(demand_by_image.values())
-    if not demand:
-        return 1.0
-    speed = min(1.0, max(0.0, host.best_effort_cpu) / demand)
-    for serving in host.serving_images:
-        load = 0.0
-        for image, cpu in demand_by_image.items():
-            pressure = pressures.estimate(image, serving)
-            load += (pressure.mean + pressure.deviation) * cpu / MILLICORES_PER_CORE
-        headroom = max(0.0, host.headrooms.get(serving, DEFAULT_HEADROOM))
-        if load > headroom:
-            speed = min(speed, headroom / load)
-    return speed
+    headrooms = {
+        serving: max(0.0, host.headrooms.get(serving, DEFAULT_HEADROOM))
+        for serving in host.serving_images
+    }
+    costs = {
+        image: {
+            serving: _find_upper_pressure(image, serving, pressures)
+            for serving in headrooms
+        }
+        for image in demand_by_image
+    }
+    used = 0.0
+    for image in sorted(costs, key=lambda image: max(costs[image].values(), default=0)):
+        cores = demand_by_image[image] / MILLICORES_PER_CORE
+        speed = 1.0
+        for serving, cost in costs[image].items():
+            if cost * cores > headrooms[serving]:
+                speed = min(speed, headrooms[serving] / (cost * cores))
+        for serving, cost in costs[image].items():
+            headrooms[serving] = max(0.0, headrooms[serving] - speed * cost * cores)
+        used += speed * demand_by_image[image]
+    return min(used, max(0.0, host.best_effort_cpu))
+
+
+def _find_upper_pressure(image: str, serving: str, pressures: PressureTable) -> float:
+    pressure = pressures.estimate(image, serving)
+    return pressure.mean + pressure.deviation
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -11,7 +11,7 @@
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.placement import Ranking, choose_host
 from egretcrank.scheduling.tasks import Job, StepState
-from egretcrank.wire.hosting import RunnerInfo
+from egretcrank.wire.hosting import Pressure, RunnerInfo
 from tests.cases import AsyncTestCase, ManualClock
 from tests.cell_world import QUEUE, build_step
 
@@ -177,6 +177,31 @@
         for host in hosts[2:]:
             self.assertGreater(placed[host.name], 0)
 
+    def test_a_heavy_image_may_join_light_ones(self):
+        """Guards against work that waits because tasks beside it would not slow down.
+
+        Agents give headroom to the images that interfere least first. Counted as if all
+        tasks slowed down alike, a heavy image added less than nothing on a host with
+        four light tasks, and waited while the host had processors and headroom left.
+        """
+        host = build_host("h", "a", cpu=24000)
+        host.headrooms = {"a": 0.28}
+        light = build_step(cpu=1800, memory=3200, best_effort=True, image="light")
+        heavy = light._replace(image="heavy")
+        for _ in range(4):
+            host.reserve(light)
+        pressures = PressureTable()
+        pressures.update(
+            "h", [Pressure("light", "a", 0.01, 0.01), Pressure("heavy", "a", 0.1, 0.01)]
+        )
+        best = Ranking(build_state(heavy), "s", [host], pressures).best
+        assert best is not None
+        self.assertTrue(best.worthwhile)
+        host.reserve(heavy)
+        second = Ranking(build_state(heavy), "s", [host], pressures).best
+        assert second is not None
+        self.assertFalse(second.worthwhile)
+
     def test_a_task_that_would_only_slow_the_others_waits(self):
         """Guards against more tasks than a host's processors or headroom allow."""
         host = build_host("full")
