Begin idle jobs when reserved processors are not in use, and after ten seconds

It is now the lower of what other tasks reserve and what is likely in use; and a job idle for 10 s gets a run anyway, as its image may get on nowhere. Tried beside it and taken back: the first task of an unknown image on a host counted with the mean of its pressure instead of mean plus deviation. Each start of a heavy task on an unknown pair shows as tail latency before its pace follows, which the model undercharges.

--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -81,10 +81,14 @@
 
 
 def find_busy_share(hosts: Sequence[HostState]) -> float:
-    """Return the share of all processors that running tasks have reserved."""
+    """Return the share of all processors that is reserved, or likely in use if less.
+
+    Best-effort tasks reserve nothing, and serving tasks use less than they reserve.
+    """
     capacity = sum(host.runner.cpu for host in hosts if host.runner is not None)
-    busy = sum(host.used_cpu + host.reserved_best_effort_cpu for host in hosts)
-    return busy / capacity if capacity else 1.0
+    reserved = sum(host.used_cpu for host in hosts)
+    unused = sum(host.unused_best_effort_cpu for host in hosts)
+    return min(reserved, capacity - unused) / capacity if capacity else 1.0
 
 
 class Ranking:
@@ -245,33 +249,31 @@
     cpu = max(step.cpu, 1)
     before = host.best_effort_images
     after = before + Counter({step.image: cpu})
-    work_with = _estimate_throughput(after, host, pressures)
-    work_without = _estimate_throughput(before, host, pressures)
+    costs = {image: _find_upper_pressures(image, host, pressures) for image in after}
+    work_with = _estimate_throughput(after, host, costs)
+    work_without = _estimate_throughput(before, host, costs)
     return (work_with - work_without) / cpu
 
 
 def _estimate_throughput(
-    demand_by_image: Mapping[str, int], host: HostState, pressures: PressureTable
+    demand_by_image: Mapping[str, int],
+    host: HostState,
+    costs: Mapping[str, Mapping[str, float]],
 ) -> float:
     """Return the millicores that a host's best-effort tasks are likely to use.
 
     Headroom goes to the images that interfere least first, as agents set paces. Each
-    image counts with all processors reserved for it and with the upper estimate of its
-    interference (mean plus deviation), so that an unknown image is spread.
+    image counts with all processors reserved for it. ``costs`` holds its pressures by
+    serving image.
     """
     headrooms = {
         serving: max(0.0, host.headrooms.get(serving, DEFAULT_HEADROOM))
         for serving in host.serving_images
     }
-    costs = {
-        image: {
-            serving: _find_upper_pressure(image, serving, pressures)
-            for serving in headrooms
-        }
-        for image in demand_by_image
-    }
     used = 0.0
-    for image in sorted(costs, key=lambda image: max(costs[image].values(), default=0)):
+    for image in sorted(
+        demand_by_image, key=lambda image: max(costs[image].values(), default=0)
+    ):
         cores = demand_by_image[image] / MILLICORES_PER_CORE
         speed = 1.0
         for serving, cost in costs[image].items():
@@ -283,6 +285,14 @@
     return min(used, max(0.0, host.best_effort_cpu))
 
 
-def _find_upper_pressure(image: str, serving: str, pressures: PressureTable) -> float:
-    pressure = pressures.estimate(image, serving)
-    return pressure.mean + pressure.deviation
+def _find_upper_pressures(
+    image: str, host: HostState, pressures: PressureTable
+) -> dict[str, float]:
+    """Return the upper estimates (mean plus deviation), by serving image.
+
+    They spread an image that is not well known over the hosts.
+    """
+    return {
+        serving: sum(pressures.estimate(image, serving))
+        for serving in host.serving_images
+    }
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -25,6 +25,8 @@
 # hosts are mostly free.
 MAX_JOB_IDLE = timedelta(seconds=1)
 MAX_BUSY_SHARE = 0.5
+# A job without a running task for this long gets one however busy the hosts are.
+MAX_BUSY_JOB_IDLE = timedelta(seconds=10)
 # Best-effort tasks are placed at most once per interval, as ranking hosts for them is
 # the most expensive decision: 63% of the host selection time in a profile of 72 hosts.
 # The delay is short next to the seconds for which they wait for tail latency to fall.
@@ -99,11 +101,12 @@
         """
         if job.idle_since is None and not job.active_runs:
             job.idle_since = self._clock.boottime()
-        return (
-            job.idle_since is not None
-            and self._clock.boottime() - job.idle_since > MAX_JOB_IDLE
-            and find_busy_share(usable) < MAX_BUSY_SHARE
-        )
+        if job.idle_since is None:
+            return False
+        idle = self._clock.boottime() - job.idle_since
+        if idle > MAX_JOB_IDLE and find_busy_share(usable) < MAX_BUSY_SHARE:
+            return True
+        return idle > MAX_BUSY_JOB_IDLE
 
     def _move(self, usable: list[HostState], now: timedelta) -> None:
         moves = choose_moves(
