Treat appends with an uncertain answer as such

Cause, found by reading: a log answer of 500, 502 or 504, or a 200 that cannot be decoded, became invalid_message, and the caller was told that its job had not run, though the record may be on the log. Such answers count as timeouts now, and lead to 504. Nothing else gives an append of unknown outcome another kind.

--- a/src/egretcrank/platform/ingress.py
+++ b/src/egretcrank/platform/ingress.py
@@ -23,6 +23,9 @@
 DEADLINE_HEADER = "HTTP_EGRETCRANK_REQUEST_DEADLINE"
 # Callers that send no deadline header wait about this long.
 DEFAULT_TIMEOUT = timedelta(seconds=3)
+# Longer waits of callers are cut to this; a number of more digits is not parsed.
+MAX_TIMEOUT = timedelta(hours=1)
+MAX_TIMEOUT_DIGITS = 12
 # Minimum time before the shutdown deadline to store a job or a cancellation; with less,
 # the request is rejected before any append.
 MIN_TIME_LEFT = timedelta(milliseconds=400)
@@ -276,7 +279,9 @@
     text = environ.get(DEADLINE_HEADER, "")
     if not text.isdecimal():
         return DEFAULT_TIMEOUT
-    return timedelta(milliseconds=int(text))
+    if len(text) > MAX_TIMEOUT_DIGITS:
+        return MAX_TIMEOUT
+    return min(MAX_TIMEOUT, timedelta(milliseconds=int(text)))
 
 
 def _build_response(result: Result[JobState, Problem]) -> Response:
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -5,6 +5,7 @@
 import struct
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
+from http import HTTPStatus
 from typing import NamedTuple
 from urllib.parse import quote
 
@@ -22,6 +23,14 @@
 # A page of a compacted read holds up to 1 MB.
 PAGE_TIMEOUT = timedelta(seconds=3)
 MAX_CONNECTIONS = 8
+# Answers to an append that may come after it took effect.
+UNCERTAIN_STATUSES = frozenset(
+    {
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        HTTPStatus.BAD_GATEWAY,
+        HTTPStatus.GATEWAY_TIMEOUT,
+    }
+)
 # Maximum number of slots per topic of a group; topics of the platform have 8 or 16
 # partitions.
 SLOTS_PER_TOPIC = 64
@@ -242,10 +251,21 @@
 def _parse_appended(response: Response) -> Result[Appended, Problem]:
     if response.status == 409:
         return decode_body(response.body, _AppendBody).bind(_build_conflict)
-    return (
-        _require_ok(response)
-        .bind(lambda r: decode_body(r.body, _AppendBody))
-        .map(lambda body: Appended(body.offset, body.end))
+    if response.status in UNCERTAIN_STATUSES:
+        return _build_unknown_outcome(f"status {response.status}")
+    match _require_ok(response).bind(lambda r: decode_body(r.body, _AppendBody)):
+        case Success(body):
+            return Success(Appended(body.offset, body.end))
+        case Failure(problem) if response.status == HTTPStatus.OK:
+            return _build_unknown_outcome(problem.detail)
+        case failure:
+            return failure
+
+
+def _build_unknown_outcome(detail: str) -> Result[Appended, Problem]:
+    """Return a failure after which the records may be on the log."""
+    return Failure(
+        Problem(ErrorKind.CALL_TIMEOUT, f"outcome of an append: {detail}", "store")
     )
 
 
