Survive a log line that cannot be formatted

Cause, found by reading: a logging call with wrong arguments raised in the writer thread, and the process logged nothing from then on. Such a line is replaced by one that says so. The test fails without the change.

--- a/src/egretcrank/observability/logs.py
+++ b/src/egretcrank/observability/logs.py
@@ -75,7 +75,7 @@
         with self._write_lock:
             lines = []
             while self._queue:
-                lines.append(self.format(self._queue.popleft()))
+                lines.append(self._format_line(self._queue.popleft()))
             if self._dropped:
                 dropped, self._dropped = self._dropped, 0
                 lines.append(self.format(_build_drop_record(dropped)))
@@ -83,6 +83,13 @@
                 self._stream.write(group)
                 self._stream.flush()
 
+    def _format_line(self, record: logging.LogRecord) -> str:
+        """Format a record; one that cannot be formatted must not end the writer."""
+        try:
+            return self.format(record)
+        except Exception as error:
+            return self.format(_build_invalid_record(record, error))
+
     def flush(self) -> None:
         """Write the queued records, waiting up to ``FLUSH_TIMEOUT``."""
         thread = threading.Thread(target=self.write_queued, daemon=True)
@@ -110,6 +117,17 @@
     return record
 
 
+def _build_invalid_record(
+    record: logging.LogRecord, error: Exception
+) -> logging.LogRecord:
+    invalid = logging.LogRecord(
+        __name__, logging.ERROR, __file__, 0, "log line is invalid", (), None
+    )
+    invalid.__dict__["line"] = str(record.msg)
+    invalid.__dict__["detail"] = f"{type(error).__name__}: {error}"
+    return invalid
+
+
 def configure_logging(process: str, level: str, stream: TextIO | None = None) -> None:
     """Log every record as one JSON line, to standard error by default.
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -49,6 +49,17 @@
     def _read(self, stream):
         return [json.loads(line) for line in stream.getvalue().splitlines()]
 
+    def test_a_line_that_cannot_be_formatted_does_not_end_the_writer(self):
+        """Guards against a process that logs nothing more after one wrong call."""
+        stream = io.StringIO()
+        handler, logger = self._build(stream)
+        logger.info("%d tasks", "many")
+        logger.info("next")
+        handler.write_queued()
+        lines = self._read(stream)
+        self.assertEqual(lines[-1]["message"], "next")
+        self.assertEqual(lines[0]["line"], "%d tasks")
+
     def test_lines_over_the_rate_limit_are_counted(self):
         """Guards against logging that consumes the CPU under load."""
         stream = io.StringIO()
