Remember deleted keys, so that an older record does not bring them back

Cause, found by reading: a deletion forgot the offset of its key, so a record read again from before it was applied: a host that had left, or a job, could be in use again. The offsets of the last 20,000 deleted keys are kept. The test fails without the change.

--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -1,6 +1,7 @@
 """Table of the cell's jobs, which every controller builds from the log."""
 
 import logging
+from collections import OrderedDict
 from datetime import datetime
 from typing import NamedTuple
 
@@ -21,6 +22,10 @@
 )
 from egretcrank.wire.hosting import Pressure
 
+# Deleted keys whose offset is kept: three records of each job, for 200 jobs a second
+# and the seconds that a page of newest records may be old.
+MAX_DELETED_KEYS = 20_000
+
 logger = logging.getLogger(__name__)
 
 
@@ -64,11 +69,13 @@
         self.leader = LeaderRecord(0, "")
         self.pressures: tuple[Pressure, ...] = ()
         self._offsets: dict[str, int] = {}
+        self._deleted: OrderedDict[str, int] = OrderedDict()
         self.refused = 0
 
     def apply(self, stored: StoredValue) -> RecordKey | None:
         """Apply a record; return its key, or ``None`` if it was ignored or refused."""
-        if self._offsets.get(stored.key, -1) >= stored.offset:
+        known = self._offsets.get(stored.key, self._deleted.get(stored.key, -1))
+        if known >= stored.offset:
             return None
         key = parse_key(stored.key)
         if key is None:
@@ -76,11 +83,21 @@
             return None
         if not self._apply_value(key, stored):
             return None
-        self._offsets[stored.key] = stored.offset
-        if not stored.value:
-            del self._offsets[stored.key]
+        if stored.value:
+            self._deleted.pop(stored.key, None)
+            self._offsets[stored.key] = stored.offset
+        else:
+            self._offsets.pop(stored.key, None)
+            self._remember_deletion(stored)
         return key
 
+    def _remember_deletion(self, stored: StoredValue) -> None:
+        """Keep the offset, so that an older record does not bring the key back."""
+        self._deleted[stored.key] = stored.offset
+        self._deleted.move_to_end(stored.key)
+        while len(self._deleted) > MAX_DELETED_KEYS:
+            self._deleted.popitem(last=False)
+
     def _apply_value(self, key: RecordKey, stored: StoredValue) -> bool:
         if not stored.value:
             self._drop(key)
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -17,8 +17,11 @@
 from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.placement import Ranking
 from egretcrank.scheduling.records import (
+    HostRecord,
     Phase,
     PressuresRecord,
+    RecordKey,
+    RecordKind,
     StepRecord,
     TaskRecord,
     encode_record,
@@ -230,6 +233,18 @@
         unknown = restored.estimate("batch", "other")
         self.assertGreater(unknown.mean + unknown.deviation, 0.08)
 
+    def test_an_older_record_does_not_bring_a_deleted_key_back(self):
+        """Guards against a host or job that is in use again after it was removed."""
+        table = JobTable()
+        key = RecordKey(RecordKind.HOST, "h").format()
+        value = encode_record(HostRecord("h:1"))
+        table.apply(StoredValue(7, key, value))
+        table.apply(StoredValue(9, key, b""))
+        self.assertIsNone(table.apply(StoredValue(8, key, value)))
+        self.assertEqual(table.hosts, {})
+        self.assertIsNotNone(table.apply(StoredValue(10, key, value)))
+        self.assertIn("h", table.hosts)
+
     def test_a_pressures_record_with_implausible_values_is_refused(self):
         """Guards against a record that ends or misleads each leader that reads it."""
         table = JobTable()
