--- a/bench/placement/variants.py
+++ b/bench/placement/variants.py
@@ -9,7 +9,7 @@
 from bench.placement.scores import Outcome
 from bench.placement.world import Day
 from egretcrank.agent import pace
-from egretcrank.policy import sharing
+from egretcrank.policy import pressures
 from egretcrank.scheduling import moves, ordering, placement, planner
 from egretcrank.scheduling.settings import CellSettings
 
@@ -34,10 +34,13 @@
     "target 0.7": (Change(pace, "TARGET_RATIO", 0.7),),
     "no minimum gain": (Change(placement, "MIN_GAIN", 0.0),),
     "idle jobs always start": (Change(planner, "MAX_BUSY_SHARE", 2.0),),
-    "idle jobs never start": (Change(planner, "MAX_JOB_IDLE", NEVER),),
+    "idle jobs never start": (
+        Change(planner, "MAX_JOB_IDLE", NEVER),
+        Change(planner, "MAX_BUSY_JOB_IDLE", NEVER),
+    ),
     "no empty hosts opened": (Change(placement, "MIN_EMPTY_SHARE", 1.0),),
     "no slowdown in the order": (Change(ordering, "START_MARGIN", 0.0),),
-    "no stored pressures": (Change(sharing, "MIN_RESTORED_DEVIATION", 1.0),),
+    "no stored pressures": (Change(pressures, "MIN_RESTORED_DEVIATION", 1.0),),
 }
 
 
--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -9,10 +9,10 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from egretcrank.policy.pressures import ChangedPressures
 from egretcrank.policy.regression import Estimate
 from egretcrank.policy.sharing import (
     MILLICORES_PER_CORE,
-    ChangedPressures,
     SharingModel,
     SharingTask,
 )
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -258,8 +258,9 @@
             return Success(Appended(body.offset, body.end))
         case Failure(problem) if response.status == HTTPStatus.OK:
             return _build_unknown_outcome(problem.detail)
-        case failure:
-            return failure
+        case Failure(problem):
+            return Failure(problem)
+    raise AssertionError("unreachable")
 
 
 def _build_unknown_outcome(detail: str) -> Result[Appended, Problem]:
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -11,7 +11,7 @@
 
 from egretcrank.clock import Clock
 from egretcrank.observability.metrics import Metrics
-from egretcrank.policy.sharing import ChangedPressures, PressureTable
+from egretcrank.policy.pressures import ChangedPressures, PressureTable
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.changes import ChangeCollector, Changes
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from egretcrank.policy.sharing import ChangedPressures
+from egretcrank.policy.pressures import ChangedPressures
 from egretcrank.scheduling.definitions import Step, TaskKey
 from egretcrank.scheduling.outbox import Outbox
 from egretcrank.wire.hosting import (
--- a/src/egretcrank/scheduling/moves.py
+++ b/src/egretcrank/scheduling/moves.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from egretcrank.policy.sharing import PressureTable
+from egretcrank.policy.pressures import PressureTable
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.placement import choose_host
--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -5,7 +5,8 @@
 from heapq import heapify, heappop, heappush
 from typing import NamedTuple
 
-from egretcrank.policy.sharing import MILLICORES_PER_CORE, PressureTable
+from egretcrank.policy.pressures import PressureTable
+from egretcrank.policy.sharing import MILLICORES_PER_CORE
 from egretcrank.scheduling.definitions import Step
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.tasks import StepState
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from egretcrank.clock import Clock
-from egretcrank.policy.sharing import PressureTable
+from egretcrank.policy.pressures import PressureTable
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.definitions import Step
--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -7,7 +7,7 @@
 
 from returns.result import Success
 
-from egretcrank.policy.sharing import is_plausible
+from egretcrank.policy.pressures import is_plausible
 from egretcrank.scheduling.definitions import JobDefinition, find_defect
 from egretcrank.scheduling.records import (
     HostRecord,
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -10,7 +10,7 @@
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.platform.runner import RunnerSnapshot
-from egretcrank.policy.sharing import PressureTable
+from egretcrank.policy.pressures import PressureTable
 from egretcrank.scheduling import planner
 from egretcrank.scheduling.cell import PRESSURE_STORE_INTERVAL
 from egretcrank.scheduling.changes import PRESSURES_KEY
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -3,7 +3,7 @@
 from datetime import timedelta
 
 from egretcrank.observability.metrics import Metrics
-from egretcrank.policy.sharing import PressureTable
+from egretcrank.policy.pressures import PressureTable
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.definitions import JobDefinition, Step
 from egretcrank.scheduling.hosts import HostState
--- a/tests/test_packing.py
+++ b/tests/test_packing.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 from unittest.mock import Mock, patch
 
-from egretcrank.policy.sharing import PressureTable
+from egretcrank.policy.pressures import PressureTable
 from egretcrank.scheduling import placement
 from egretcrank.scheduling.definitions import JobDefinition, Step
 from egretcrank.scheduling.hosts import HostState
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -4,15 +4,13 @@
 from datetime import timedelta
 
 from egretcrank.agent.pace import MAX_TIME_OVER_TARGET, PaceController
-from egretcrank.policy.regression import Estimate
-from egretcrank.policy.sharing import (
-    PRIOR_PRESSURE,
+from egretcrank.policy.pressures import (
     REFRESH_INTERVAL,
     ChangedPressures,
     PressureTable,
-    SharingModel,
-    SharingTask,
 )
+from egretcrank.policy.regression import Estimate
+from egretcrank.policy.sharing import PRIOR_PRESSURE, SharingModel, SharingTask
 from egretcrank.wire.hosting import Pressure, Run, RunningTask, TaskProfile
 from tests.cases import AsyncTestCase
 
