--- a/bench/placement/variants.py
+++ b/bench/placement/variants.py
@@ -32,6 +32,7 @@
     "no pause over target": (Change(pace, "MAX_TIME_OVER_TARGET", NEVER),),
     "no lookahead": (Change(pace, "LOAD_LOOKAHEAD", timedelta()),),
     "target 0.7": (Change(pace, "TARGET_RATIO", 0.7),),
+    "target 0.8": (Change(pace, "TARGET_RATIO", 0.8),),
     "no minimum gain": (Change(placement, "MIN_GAIN", 0.0),),
     "idle jobs always start": (Change(planner, "MAX_BUSY_SHARE", 2.0),),
     "idle jobs never start": (
--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -27,7 +27,7 @@
 FULL_PACE_PERCENT = 100.0
 # Ratio of tail latency to target that the controller aims for. The rest absorbs changes
 # of the load until the next measurements.
-TARGET_RATIO = 0.8
+TARGET_RATIO = 0.75
 # Ratio of tail latency to target above which no pace is raised.
 MAX_RAISE_RATIO = 0.9
 # Largest increase of a pace in one adjustment.
