Follow serving tasks by image and job, and ignore estimates that tell nothing

Cause, found by reading the diff: a job with serving tasks of two images was followed under the image that came first, and the next order of its tasks raised KeyError in the agent's control of paces; so did a best-effort image named like a coefficient ("level:..."). Loads are kept by image and job now, and coefficients of images have a prefix of their own. After a pause of the measurements the uncertainty grows for all of it. Also: a reported or stored pressure that is not a number, or less certain than the prior, could make a merged precision zero or negative, which ends each round of decisions. It is ignored.

--- a/bench/placement/variants.py
+++ b/bench/placement/variants.py
@@ -9,8 +9,7 @@
 from bench.placement.scores import Outcome
 from bench.placement.world import Day
 from egretcrank.agent import pace
-from egretcrank.policy import pressures
-from egretcrank.scheduling import moves, ordering, placement, planner
+from egretcrank.scheduling import cell, moves, ordering, placement, planner
 from egretcrank.scheduling.settings import CellSettings
 
 NEVER = timedelta(days=1)
@@ -41,7 +40,7 @@
     ),
     "no empty hosts opened": (Change(placement, "MIN_EMPTY_SHARE", 1.0),),
     "no slowdown in the order": (Change(ordering, "START_MARGIN", 0.0),),
-    "no stored pressures": (Change(pressures, "MIN_RESTORED_DEVIATION", 1.0),),
+    "no stored pressures": (Change(cell, "MAX_STORED_PRESSURES", 0),),
 }
 
 
--- a/src/egretcrank/agent/pace.py
+++ b/src/egretcrank/agent/pace.py
@@ -46,7 +46,6 @@
 # Interval at which measurements are polled. An interval twice as long detects changes
 # later.
 MEASUREMENT_INTERVAL = timedelta(milliseconds=250)
-
 # A pace set now takes effect, and shows in the tail latency, after about this time.
 LOAD_LOOKAHEAD = timedelta(milliseconds=400)
 
@@ -191,7 +190,7 @@
         headroom: dict[str, float] = {}
         for task in serving:
             limit = self._model.find_utilization(task.image, TARGET_RATIO)
-            load = self._model.estimate_load(task.name, LOAD_LOOKAHEAD)
+            load = self._model.estimate_load(task.image, task.name, LOAD_LOOKAHEAD)
             left = max(0.0, limit - load - self._margins[task.name])
             headroom[task.image] = min(headroom.get(task.image, left), left)
         return headroom
--- a/src/egretcrank/policy/pressures.py
+++ b/src/egretcrank/policy/pressures.py
@@ -54,9 +54,12 @@
         self._best_effort_by_serving: defaultdict[str, set[str]] = defaultdict(set)
 
     def update(self, host: str, pressures: Iterable[Pressure]) -> None:
-        """Replace the estimates of one host that changed since its last report."""
+        """Replace the estimates of one host that changed since its last report.
+
+        Implausible estimates are ignored.
+        """
         known = self._by_host.setdefault(host, {})
-        for pressure in pressures:
+        for pressure in filter(is_plausible, pressures):
             pair = (pressure.best_effort, pressure.serving)
             self._add_estimate(pair, known.get(pair), -1)
             self._add_estimate(pair, pressure, 1)
@@ -83,12 +86,13 @@
     ) -> None:
         """Add or, with a sign of -1, subtract the estimate of one host.
 
-        The prior is part of every host's estimate and is therefore left out here.
+        The prior is part of every host's estimate and is therefore left out here. An
+        estimate that is no better than the prior says nothing.
         """
-        if found is None:
+        if found is None or found.deviation >= PRIOR_PRESSURE.deviation:
             return
         total = self._sums.get(pair, PRIOR_SUM)
-        own = 1 / max(found.deviation, MIN_DEVIATION) ** 2
+        own = max(found.deviation, MIN_DEVIATION) ** -2
         self._sums[pair] = _PrecisionSum(
             total.precision + sign * (own - PRIOR_SUM.precision),
             total.weighted_means + sign * (own * found.mean - PRIOR_SUM.weighted_means),
--- a/src/egretcrank/policy/sharing.py
+++ b/src/egretcrank/policy/sharing.py
@@ -13,7 +13,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from egretcrank.policy.regression import BASELINE, Estimate, LinearFilter
+from egretcrank.policy.regression import Estimate, LinearFilter
 from egretcrank.wire.hosting import Pressure, find_job
 
 # From this utilization on, the tail latency shows only that the queue is saturated.
@@ -31,7 +31,7 @@
 LEVEL_CHANGE_VARIANCE = 0.01**2
 TREND_CHANGE_VARIANCE = 0.12**2
 # A trend is not followed for longer without measurements.
-MAX_TREND_SECONDS = 1.0
+MAX_TREND = timedelta(seconds=1)
 # Standard deviation of a utilization, besides the resolution of the tail latency.
 MEASUREMENT_DEVIATION = 0.03
 # Pressure of a pair of images that was not observed yet, in utilization per core.
@@ -42,11 +42,21 @@
 # A pair is reported once its deviation is below this ratio of the prior's deviation.
 KNOWN_DEVIATION_RATIO = 0.95
 MILLICORES_PER_CORE = 1000
+SECOND = timedelta(seconds=1)
 
 NO_BASELINE = Estimate(0.0, 1e-6)
-# Prefixes of the coefficients of a job's load; others are named by best-effort image.
+# Prefixes of the coefficients of a filter: load of a job, its change per second, and
+# pressure of a best-effort image.
 LEVEL_PREFIX = "level:"
 TREND_PREFIX = "trend:"
+PRESSURE_PREFIX = "pressure:"
+
+
+class _Group(NamedTuple):
+    """The serving tasks of one image and job on a host, whose loads are alike."""
+
+    image: str
+    job: str
 
 
 class SharingTask(NamedTuple):
@@ -87,7 +97,7 @@
         self._averages: dict[str, float] = {}
         # Cores by best-effort image, averaged like the tail latencies.
         self._cores: dict[str, float] = {}
-        self._jobs: dict[str, str] = {}
+        self._groups: set[_Group] = set()
         self._observed_at: timedelta | None = None
 
     def observe(self, tasks: Iterable[SharingTask], at: timedelta) -> None:
@@ -98,14 +108,14 @@
         self._observed_at = at
         self._average_cores(sum_best_effort_cores(known), elapsed)
         self._update_unloaded_ratios(serving)
-        by_job: defaultdict[str, list[SharingTask]] = defaultdict(list)
+        by_group: defaultdict[_Group, list[SharingTask]] = defaultdict(list)
         for task in serving:
-            by_job[find_job(task.name)].append(task)
-        self._remove_jobs(by_job)
-        for model in self._filters.values():
-            _advance(model, elapsed / timedelta(seconds=1))
-        for job, job_tasks in by_job.items():
-            self._observe_job(job, job_tasks)
+            by_group[_Group(task.image, find_job(task.name))].append(task)
+        self._remove_groups(by_group)
+        for group in self._groups:
+            _advance(self._filters[group.image], group.job, elapsed)
+        for group, group_tasks in by_group.items():
+            self._observe_group(group, group_tasks)
 
     def _average_cores(self, cores: Mapping[str, float], elapsed: timedelta) -> None:
         weight = 1 - math.exp(-(elapsed / CORES_AVERAGING_TIME))
@@ -131,18 +141,20 @@
             )
         self._averages = averages
 
-    def _remove_jobs(self, present: Iterable[str]) -> None:
-        for job in self._jobs.keys() - set(present):
-            model = self._filters[self._jobs.pop(job)]
-            model.remove(LEVEL_PREFIX + job)
-            model.remove(TREND_PREFIX + job)
+    def _remove_groups(self, present: Iterable[_Group]) -> None:
+        for group in self._groups - set(present):
+            self._groups.discard(group)
+            model = self._filters[group.image]
+            model.remove(LEVEL_PREFIX + group.job)
+            model.remove(TREND_PREFIX + group.job)
 
-    def _observe_job(self, job: str, tasks: list[SharingTask]) -> None:
-        image = tasks[0].image
-        model = self._prepare_filter(image, job)
+    def _observe_group(self, group: _Group, tasks: list[SharingTask]) -> None:
+        image, job = group
+        model = self._prepare_filter(group)
         utilization = sum(self.find_utilization(image, t.ratio) for t in tasks)
         utilization /= len(tasks)
-        inputs = {LEVEL_PREFIX + job: 1.0, **self._cores}
+        inputs = {PRESSURE_PREFIX + name: cores for name, cores in self._cores.items()}
+        inputs[LEVEL_PREFIX + job] = 1.0
         saturated = utilization >= SATURATED_UTILIZATION
         # A saturated queue shows only that the utilization is at least that high.
         if saturated and model.predict(inputs) >= SATURATED_UTILIZATION:
@@ -153,18 +165,18 @@
         noise = MEASUREMENT_DEVIATION**2 + resolution**2 / 12
         model.update(inputs, utilization, noise)
 
-    def _prepare_filter(self, serving: str, job: str) -> LinearFilter:
-        model = self._filters.get(serving)
+    def _prepare_filter(self, group: _Group) -> LinearFilter:
+        model = self._filters.get(group.image)
         if model is None:
             model = LinearFilter(NO_BASELINE)
-            self._filters[serving] = model
+            self._filters[group.image] = model
         for image in self._cores:
-            if image not in model.index:
-                model.add(image, PRIOR_PRESSURE)
-        if job not in self._jobs:
-            self._jobs[job] = serving
-            model.add(LEVEL_PREFIX + job, PRIOR_LOAD)
-            model.add(TREND_PREFIX + job, PRIOR_TREND)
+            if PRESSURE_PREFIX + image not in model.index:
+                model.add(PRESSURE_PREFIX + image, PRIOR_PRESSURE)
+        if group not in self._groups:
+            self._groups.add(group)
+            model.add(LEVEL_PREFIX + group.job, PRIOR_LOAD)
+            model.add(TREND_PREFIX + group.job, PRIOR_TREND)
         return model
 
     def find_utilization(self, serving: str, ratio: float) -> float:
@@ -178,9 +190,9 @@
     def estimate_pressure(self, best_effort: str, serving: str) -> Estimate:
         """Return the increase of a serving image's utilization per best-effort core."""
         model = self._filters.get(serving)
-        if model is None or best_effort not in model.index:
+        if model is None or PRESSURE_PREFIX + best_effort not in model.index:
             return PRIOR_PRESSURE
-        i = model.index[best_effort]
+        i = model.index[PRESSURE_PREFIX + best_effort]
         return Estimate(
             max(0.0, model.means[i]), max(0.0, model.covariance[i][i]) ** 0.5
         )
@@ -190,9 +202,9 @@
         return tuple(
             Pressure(best_effort, serving, round(estimate.mean, 4), estimate.deviation)
             for serving, model in self._filters.items()
-            for best_effort in model.index
-            if best_effort != BASELINE
-            and not best_effort.startswith((LEVEL_PREFIX, TREND_PREFIX))
+            for name in model.index
+            if name.startswith(PRESSURE_PREFIX)
+            and (best_effort := name.removeprefix(PRESSURE_PREFIX))
             and (estimate := self.estimate_pressure(best_effort, serving)).deviation
             < PRIOR_PRESSURE.deviation * KNOWN_DEVIATION_RATIO
         )
@@ -209,28 +221,29 @@
         for task in tasks:
             if task.ratio > 0:
                 limit = self.find_utilization(task.image, ratio)
-                left = limit - self.estimate_load(task.name)
+                left = limit - self.estimate_load(task.image, task.name)
                 headrooms[task.image] = min(headrooms.get(task.image, left), left)
         return headrooms
 
-    def estimate_load(self, name: str, ahead: timedelta = timedelta()) -> float:
+    def estimate_load(
+        self, image: str, name: str, ahead: timedelta = timedelta()
+    ) -> float:
         """Return the utilization by a serving task's own load, ``ahead`` from now."""
-        job = find_job(name)
-        if job not in self._jobs:
+        group = _Group(image, find_job(name))
+        if group not in self._groups:
             return PRIOR_LOAD.mean
-        model = self._filters[self._jobs[job]]
-        level = model.means[model.index[LEVEL_PREFIX + job]]
-        trend = model.means[model.index[TREND_PREFIX + job]]
-        return max(0.0, level + trend * (ahead / timedelta(seconds=1)))
+        model = self._filters[image]
+        level = model.means[model.index[LEVEL_PREFIX + group.job]]
+        trend = model.means[model.index[TREND_PREFIX + group.job]]
+        return max(0.0, level + trend * (ahead / SECOND))
 
 
-def _advance(model: LinearFilter, seconds: float) -> None:
-    """Let the loads follow their trends, and widen their uncertainty."""
-    if seconds <= 0:
+def _advance(model: LinearFilter, job: str, elapsed: timedelta) -> None:
+    """Let a job's load follow its trend, and widen the uncertainty of both."""
+    if elapsed <= timedelta():
         return
-    seconds = min(seconds, MAX_TREND_SECONDS)
-    for kind in [k for k in model.index if k.startswith(LEVEL_PREFIX)]:
-        trend = TREND_PREFIX + kind.removeprefix(LEVEL_PREFIX)
-        model.shift(kind, trend, seconds)
-        model.widen(kind, LEVEL_CHANGE_VARIANCE * seconds)
-        model.widen(trend, TREND_CHANGE_VARIANCE * seconds)
+    model.shift(
+        LEVEL_PREFIX + job, TREND_PREFIX + job, min(elapsed, MAX_TREND) / SECOND
+    )
+    model.widen(LEVEL_PREFIX + job, LEVEL_CHANGE_VARIANCE * (elapsed / SECOND))
+    model.widen(TREND_PREFIX + job, TREND_CHANGE_VARIANCE * (elapsed / SECOND))
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -10,7 +10,12 @@
     PressureTable,
 )
 from egretcrank.policy.regression import Estimate
-from egretcrank.policy.sharing import PRIOR_PRESSURE, SharingModel, SharingTask
+from egretcrank.policy.sharing import (
+    PRIOR_LOAD,
+    PRIOR_PRESSURE,
+    SharingModel,
+    SharingTask,
+)
 from egretcrank.wire.hosting import Pressure, Run, RunningTask, TaskProfile
 from tests.cases import AsyncTestCase
 
@@ -84,11 +89,44 @@
             ratio = UNLOADED_TAIL / (1 - load) / TARGET
             model.observe([SharingTask("j.0.0.0", "serving", ratio)], at)
             at += timedelta(milliseconds=250)
-        now = model.estimate_load("j.0.0.0")
-        ahead = model.estimate_load("j.0.0.0", SECOND)
+        now = model.estimate_load("serving", "j.0.0.0")
+        ahead = model.estimate_load("serving", "j.0.0.0", SECOND)
         self.assertGreater(ahead - now, 0.06)
         self.assertLess(ahead - now, 0.14)
 
+    def test_images_of_any_name_and_jobs_of_two_images_are_followed(self):
+        """Guards against a name or a job that ends the control of paces on a host."""
+        model = SharingModel()
+        at = timedelta()
+        for step in range(8):
+            serving = [
+                SharingTask("j.0.0.0", "level:j", ratio=0.4),
+                SharingTask("j.0.1.0", "trend:j", ratio=0.5),
+            ]
+            others = [SharingTask(f"b.0.0.{i}", i, cores=1.0) for i in ("", "level:j")]
+            order = serving if step % 2 else serving[::-1]
+            model.observe([*order, *others], at)
+            at += SECOND
+        one = model.estimate_load("level:j", "j.0.0.0")
+        other = model.estimate_load("trend:j", "j.0.1.0")
+        self.assertLess(one, other)
+        model.observe([], at)
+        self.assertEqual(model.estimate_load("level:j", "j.0.0.0"), PRIOR_LOAD.mean)
+
+    def test_implausible_estimates_are_ignored(self):
+        """Guards against a report or record that ends each round of decisions."""
+        table = PressureTable()
+        for host, mean, deviation in (
+            ("a", 0.1, 9.0),
+            ("b", 0.1, 9.0),
+            ("c", math.nan, 0.01),
+            ("d", 0.1, 0.0),
+            ("e", -5.0, 0.01),
+        ):
+            table.update(host, [Pressure("f", "s", mean, deviation)])
+        self.assertGreater(table.estimate("f", "s").deviation, 0.01)
+        self.assertLess(table.estimate("f", "s").mean, 0.1)
+
     def test_an_unknown_pair_has_the_prior(self):
         """Guards against placing an unknown image as if it were harmless."""
         self.assertEqual(
