--- a/bench/placement/world.py
+++ b/bench/placement/world.py
@@ -140,6 +140,8 @@
         self.ended_at: dict[str, float] = {}
         self.failed: set[str] = set()
         self.now = 0.0
+        # Cores in use by best-effort tasks after each tick, by time in seconds.
+        self.best_effort_cores: list[tuple[float, float]] = []
         self._faults = self._draw_faults()
 
     def _draw_faults(self) -> list[tuple[float, str, SimulatedRunner | None]]:
@@ -166,6 +168,8 @@
             self._apply_faults()
             self._submit()
             ended = {r.name: r.advance(self.now, TICK_SECONDS) for r in self.runners}
+            cores = sum(r.best_effort_cores for r in self.runners)
+            self.best_effort_cores.append((self.now, cores))
             if self.cell is None and self.now >= self._leads_from:
                 self._lead()
             for name, agent in self.agents.items():
