Log and count why a run counts as ended without a listed end

The logs could not tell the hypotheses on two runs of one task apart: the leader's 'run ended' named no report and no lease, an agent did not say which runs it discards, and neither logged a new life of a runner or a restarted agent as such. The new metric counts releases while a lease may last. No decision changes; the test fails without the lines.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -167,9 +167,13 @@
             self._report_due.set()
 
     def _handle_runner_left(self, runner_id: str) -> None:
-        logger.info("runner left", extra={"runner": runner_id})
         with self._lock:
+            known = self._state.runner
             self._state.mark_runner_left(runner_id)
+        logger.info(
+            "runner left",
+            extra={"runner": runner_id, "born": known.born if known else 0},
+        )
         self._report_due.set()
 
     def _run_looks(self) -> None:
@@ -210,7 +214,6 @@
         with self._lock:
             expired = self._state.expire_silent_runs(self._clock.boottime())
         if expired:
-            logger.warning("leases of the unresponsive runner have expired")
             self._report_due.set()
 
     def _log_reachability(self, problem: str) -> None:
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -1,8 +1,9 @@
 """State of an agent: its runner, the orders accepted and the reports due."""
 
+import logging
 import math
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -38,6 +39,10 @@
 # Jobs whose specification is cached: twice as many as a leader assumes to be cached
 # here. They take at most 2 MB.
 MAX_CACHED_SPECS = 512
+# Number of runs that one log line names.
+MAX_LOGGED_RUNS = 20
+
+logger = logging.getLogger(__name__)
 
 
 class Identity(NamedTuple):
@@ -134,6 +139,7 @@
         if snapshot.born == self.born and self._is_stale(snapshot):
             return False
         if snapshot.born != self.born:
+            self._log_new_runner(snapshot)
             self._reset_runner_state()
             self.born = snapshot.born
             changed = True
@@ -177,6 +183,19 @@
         measurement = max(0.0, (task.measurement - decay * before) / (1 - decay))
         return task._replace(measurement=measurement)
 
+    def _log_new_runner(self, snapshot: RunnerSnapshot) -> None:
+        listed = {Run(r.task, r.run) for r in snapshot.running}
+        logger.info(
+            "runner is another process than before",
+            extra={
+                "born_before": self.born,
+                "born": snapshot.born,
+                "runner_clock": snapshot.clock,
+                "listed": len(listed),
+                "dropped": _format_runs({*self._running, *self._started} - listed),
+            },
+        )
+
     def _is_stale(self, snapshot: RunnerSnapshot) -> bool:
         return self._clock_base is not None and snapshot.clock < self._clock_base[0]
 
@@ -235,6 +254,17 @@
         """
         if not (self._running or self._started) or not self.have_leases_expired(now):
             return False
+        clock, read_at = self._clock_base or (0, now)
+        logger.warning(
+            "leases of the unresponsive runner have expired",
+            extra={
+                "born": self.born,
+                "silent_seconds": (now - read_at).total_seconds(),
+                "runner_left": self.runner_left,
+                "lease_milliseconds_at_last_reply": self._latest_deadline - clock,
+                "dropped": _format_runs({*self._running, *self._started}),
+            },
+        )
         self._running.clear()
         self._started.clear()
         self._stopping.clear()
@@ -417,3 +447,8 @@
             for refusal, first in self._refused.items()
             if not first or first > sequence
         }
+
+
+def _format_runs(runs: Iterable[Run]) -> list[str]:
+    """Return the first runs of a set as text, for a log line."""
+    return [f"{run.task}/{run.run}" for run in sorted(runs)[:MAX_LOGGED_RUNS]]
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -86,6 +86,12 @@
             "Runs of tasks by event (placed, or why the run ended).",
             registry=self._registry,
         )
+        self.early_releases = Counter(
+            "egretcrank_runs_released_on_lease_total",
+            "Runs that counted as ended without a listed end while the lease of their"
+            " host may have lasted, by reason.",
+            registry=self._registry,
+        )
         self.first_start_seconds = Histogram(
             "egretcrank_first_start_seconds",
             "Time from handing a job in to the start of its first task.",
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -24,7 +24,7 @@
 from egretcrank.scheduling.outbox import EMPTY_BATCH
 from egretcrank.scheduling.planner import Planner, build_profile
 from egretcrank.scheduling.records import Phase
-from egretcrank.scheduling.runs import Runs
+from egretcrank.scheduling.runs import GONE, HOST_LOST, RUNNER_RESTARTED, Runs
 from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.table import JobEntry, JobTable
 from egretcrank.scheduling.tasks import (
@@ -236,6 +236,18 @@
             self._changes.mark_host(host.name, present=True)
         known = (report.epoch, report.session) == (self.epoch, host.session)
         same_incarnation = known and report.incarnation == host.incarnation
+        if host.incarnation and report.incarnation != host.incarnation:
+            logger.info(
+                "report of another agent process",
+                extra={
+                    "host": host.name,
+                    "incarnation_before": host.incarnation,
+                    "incarnation": report.incarnation,
+                    "report": report.sequence,
+                    "session_known": known,
+                    "full": report.full,
+                },
+            )
         if same_incarnation and report.sequence <= host.sequence:
             return
         host.reply_due = True
@@ -294,7 +306,7 @@
             host.ends_seen = 0
             host.ends_durable = 0
             host.unwanted_runs.clear()
-            self._runs.drop_host_runs(host, "runner restarted", report)
+            self._runs.drop_host_runs(host, RUNNER_RESTARTED, report)
         if host.runner is None or host.runner.draining != runner.draining:
             logger.info(
                 "runner state",
@@ -329,7 +341,7 @@
             if placement.order_number > report.applied:
                 continue
             if (key.format(), placement.run) not in reported:
-                self._runs.release(placement, "run is gone")
+                self._runs.release(placement, GONE)
             elif placement.phase is RunPhase.STOPPING and not placement.order_number:
                 placement.order_number = host.add_order(
                     StopOrder(key.format(), placement.run)
@@ -475,7 +487,7 @@
                 logger.warning(
                     "host lost", extra={"host": host.name, "tasks": len(host.tasks)}
                 )
-                self._runs.drop_host_runs(host, "host lost", None)
+                self._runs.drop_host_runs(host, HOST_LOST, None)
                 host.session += 1
                 host.begin_session("")
             if now - host.reported_at > self._settings.lease:
--- a/src/egretcrank/scheduling/runs.py
+++ b/src/egretcrank/scheduling/runs.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Iterator, Mapping
+from datetime import timedelta
 
 from egretcrank.clock import Clock
 from egretcrank.observability.metrics import Metrics
@@ -10,6 +11,12 @@
 from egretcrank.scheduling.tasks import Placement, RunPhase, StepState
 from egretcrank.wire.hosting import HostReport, StopOrder
 
+# Reasons for which a run counts as ended although no end of it was listed.
+GONE = "run is gone"
+RUNNER_RESTARTED = "runner restarted"
+HOST_LOST = "host lost"
+UNLISTED_ENDS = frozenset({GONE, RUNNER_RESTARTED, HOST_LOST})
+
 logger = logging.getLogger(__name__)
 
 
@@ -69,6 +76,9 @@
         if not step.tasks[key.position].done and not step.job.phase.final:
             step.waiting.add(key.position)
         self._metrics.runs.inc({"event": reason})
+        lease_left = host.granted_until - self._clock.boottime()
+        if reason in UNLISTED_ENDS and lease_left > timedelta():
+            self._metrics.early_releases.inc({"reason": reason})
         logger.info(
             "run ended",
             extra={
@@ -77,6 +87,13 @@
                 "run": placement.run,
                 "host": placement.host,
                 "reason": reason,
+                "lease_left": lease_left.total_seconds(),
+                "incarnation": host.incarnation,
+                "session": host.session,
+                "report": host.sequence,
+                "born": host.runner.born if host.runner else 0,
+                "silent": host.runner_silent,
+                "runner_left": host.runner_left,
             },
         )
 
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -303,7 +303,8 @@
         if not world.log.append([(key, record)], epoch):
             return
         self.catch_up()
-        cell = Cell(SETTINGS, world.clock, self.table, epoch, Metrics())
+        self.metrics = Metrics()
+        cell = Cell(SETTINGS, world.clock, self.table, epoch, self.metrics)
         cell.catalog = CATALOG
         cell.open(fence_offset, world.now())
         cell.confirm(len(world.log.records), world.now())
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -388,6 +388,24 @@
             state.resolve_start(run, RunnerSnapshot(5, 2, (), ended), born=1)
         )
 
+    def test_the_log_tells_what_a_run_without_a_listed_end_was_released_on(self):
+        """Guards against a second run whose cause the logs do not tell."""
+        world = World(25)
+        world.submit(build_step(long_running=True, width=3))
+        world.run(2)
+        world.runners[0].restart()
+        with self.assertLogs("egretcrank", "INFO") as captured:
+            world.run(1)
+        lines = {record.getMessage(): record.__dict__ for record in captured.records}
+        runner = lines["runner is another process than before"]
+        self.assertEqual((runner["born_before"], runner["born"]), (1, 2))
+        self.assertEqual(len(runner["dropped"]), 1)
+        ended = lines["run ended"]
+        self.assertEqual((ended["reason"], ended["born"]), ("runner restarted", 1))
+        self.assertGreater(ended["lease_left"], 4)
+        rendered, _ = world.leader.metrics.render("text/plain")
+        self.assertIn(b'on_lease_total{reason="runner restarted"} 1', rendered)
+
     def test_failed_runs_count_in_any_order(self):
         """Guards against a fourth attempt of a task that is allowed three.
 
