--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -214,6 +214,12 @@
             self.runner.start(self.order, self.deadline, self.token)
 
 
+class Poll(NamedTuple):
+    """Reply to a poll that the agent has not received yet."""
+
+    snapshot: RunnerSnapshot
+
+
 class Agent:
     """Agent of one host; its calls to the runner may fail."""
 
@@ -224,13 +230,22 @@
         )
         self.pace = PaceController()
         self.heartbeats = 0
+        self.is_polling = True
         self.token = int(world.now() / timedelta(milliseconds=1)) + 1000 * incarnation
 
     def poll_runner(self) -> None:
+        if not self.is_polling:
+            return
+        poll = self.send_poll()
+        if poll is not None:
+            self.receive(poll)
+
+    def send_poll(self) -> Poll | None:
+        """Send a poll, whose reply a test may let arrive late."""
         state = self.state
         if self.runner.silent:
             state.expire_silent_runs(self.world.now())
-            return
+            return None
         snapshot = self.runner.poll(
             state.compute_lease_deadline(self.world.now()),
             self.token,
@@ -238,10 +253,14 @@
         )
         if snapshot is None:
             self.token += 5000
-            return
+            return None
         self.heartbeats += 1
         state.update_runner(self.runner.describe(), self.heartbeats)
-        state.apply_snapshot(snapshot, self.world.now())
+        return Poll(snapshot)
+
+    def receive(self, poll: Poll) -> None:
+        """Receive the reply to a poll."""
+        self.state.apply_snapshot(poll.snapshot, self.world.now())
 
     def handle_orders(self, message: HostOrders) -> None:
         for order in self.state.accept_orders(message):
