Let no list end a run that is younger than the list

Seen: in the world of one cell, 'runs twice' (test_a_list_that_a_start_overtook...), and a state that went back to a dead runner's (test_a_list_of_a_former_runner...). Cause: a list of a runner that has just restarted cleared the confirmed starts, though its reply may be older than the start; within one process, the runner's clock was compared, which says nothing across a restart; a late reply of the former process took the place of the next one's. Change: polls are numbered when they are sent. A list ends a confirmed start only if its poll was sent after the confirmation. Of two concurrent polls, the one of the younger process, or with the later clock, holds. Ruled out: late orders (another token fences them).

--- a/bench/placement/world.py
+++ b/bench/placement/world.py
@@ -77,8 +77,9 @@
         at = timedelta(seconds=now)
         self._sequence += 1
         self.state.update_runner(self.runner.describe(), self._sequence)
+        poll = self.state.begin_poll()
         snapshot = self.runner.poll(now, self.state.durable_ends)
-        changed = self.state.apply_snapshot(snapshot, at)
+        changed = self.state.apply_snapshot(snapshot, at, poll)
         for run in self.state.list_pending_stops():
             self.runner.stop(run.task, run.run)
         for change in self.pace.adjust(
@@ -106,7 +107,7 @@
         step = submission.definition.steps[key.step]
         seconds = submission.seconds[key.step][key.position]
         self.runner.start(order, seconds, submission.phase, now, step.checkpointing)
-        self.state.mark_started(Run(order.task, order.run), int(now * 1000))
+        self.state.mark_started(Run(order.task, order.run))
 
 
 class Day:
--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -195,11 +195,12 @@
             deadline = self._state.compute_lease_deadline(self._clock.boottime())
             token = self._token
             acknowledged = self._state.durable_ends
+            poll = self._state.begin_poll()
         match self._runner.poll(deadline, token, acknowledged, wait):
             case Success(snapshot):
                 self._count_call("look", None)
                 self._log_reachability("")
-                self._apply_snapshot(snapshot)
+                self._apply_snapshot(snapshot, poll)
                 return True
             case Failure(problem):
                 self._count_call("look", problem)
@@ -232,9 +233,9 @@
                 self._token = refused + TOKEN_STEP
                 logger.info("fencing token increased", extra={"token": self._token})
 
-    def _apply_snapshot(self, snapshot: RunnerSnapshot) -> None:
+    def _apply_snapshot(self, snapshot: RunnerSnapshot, poll: int) -> None:
         with self._lock:
-            changed = self._state.apply_snapshot(snapshot, self._clock.boottime())
+            changed = self._state.apply_snapshot(snapshot, self._clock.boottime(), poll)
             stops = self._state.list_pending_stops()
             paces = self._adjust_pace()
             token = self._token
@@ -330,10 +331,10 @@
             duration = self._clock.boottime() - started_at
             self._metrics.runner_seconds.add({}, duration.total_seconds())
             match started:
-                case Success(CommandResult(clock, "")):
+                case Success(CommandResult(_, "")):
                     self._count_call("start", None)
                     with self._lock:
-                        self._state.mark_started(run, clock)
+                        self._state.mark_started(run)
                     logger.info("run started", extra={"task": run.task, "run": run.run})
                     return
                 case Success(CommandResult(_, "fence")):
@@ -373,9 +374,11 @@
             self._token += 1
             token = self._token
         while not self._stopping.is_set():
+            with self._lock:
+                poll = self._state.begin_poll()
             match self._runner.poll(None, token, 0, timedelta()):
                 case Success(snapshot):
-                    self._apply_snapshot(snapshot)
+                    self._apply_snapshot(snapshot, poll)
                     self._resolve_start_from(run, snapshot, born)
                     return
                 case Failure(problem):
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -83,10 +83,14 @@
         self._clock_base: tuple[int, timedelta] | None = None
         # Latest lease deadline computed so far, on the runner's clock.
         self._latest_deadline = 0
+        # Number of polls sent so far, and that number at the last reply.
+        self._polls_sent = 0
+        self._polls_at_reply = 0
         # Starts in progress, with the numbers of their orders in the current session,
         # or 0 for orders of an earlier one.
         self._starting: dict[Run, int] = {}
-        # Confirmed starts that no poll has listed yet, with the runner's clock then.
+        # Confirmed starts that no poll has listed yet, with the number of polls sent
+        # until the confirmation. The reply to one of these may be older than the start.
         self._started: dict[Run, int] = {}
         self._stopping: set[Run] = set()
         self._running: dict[Run, RunningTask] = {}
@@ -133,10 +137,17 @@
         if self.runner is not None and self.runner.runner_id == runner_id:
             self.runner_left = True
 
-    def apply_snapshot(self, snapshot: RunnerSnapshot, received_at: timedelta) -> bool:
-        """Apply a reply to a poll and return whether it has to be reported."""
+    def begin_poll(self) -> int:
+        """Return the number of a poll that is about to be sent."""
+        self._polls_sent += 1
+        return self._polls_sent
+
+    def apply_snapshot(
+        self, snapshot: RunnerSnapshot, received_at: timedelta, poll: int
+    ) -> bool:
+        """Apply the reply to poll number ``poll``; return whether to report it."""
         changed = False
-        if snapshot.born == self.born and self._is_stale(snapshot):
+        if self._is_outdated(snapshot, poll):
             return False
         if snapshot.born != self.born:
             self._log_new_runner(snapshot)
@@ -144,6 +155,7 @@
             self.born = snapshot.born
             changed = True
         self.has_snapshot = True
+        self._polls_at_reply = self._polls_sent
         self._clock_base = (snapshot.clock, received_at)
         listed = {
             Run(r.task, r.run): self._remove_averaging(r, snapshot)
@@ -153,8 +165,8 @@
         self.raw_measurements = {
             Run(r.task, r.run): r.measurement for r in snapshot.running
         }
-        for run, clock in list(self._started.items()):
-            if run in listed or snapshot.clock > clock:
+        for run, polls_sent in list(self._started.items()):
+            if run in listed or poll > polls_sent:
                 del self._started[run]
         self._running = listed
         self._stopping &= set(listed)
@@ -196,8 +208,19 @@
             },
         )
 
-    def _is_stale(self, snapshot: RunnerSnapshot) -> bool:
-        return self._clock_base is not None and snapshot.clock < self._clock_base[0]
+    def _is_outdated(self, snapshot: RunnerSnapshot, poll: int) -> bool:
+        """Return whether a reply is older than the one applied last.
+
+        Replies to concurrent polls may overtake each other. Those of one runner process
+        are ordered by its clock.
+        """
+        if self._clock_base is None:
+            return False
+        concurrent = poll <= self._polls_at_reply
+        if snapshot.born != self.born:
+            return concurrent and snapshot.born < self.born
+        clock = self._clock_base[0]
+        return snapshot.clock < clock or (concurrent and snapshot.clock == clock)
 
     def _reset_runner_state(self) -> None:
         """Discard the state of the runner from before its restart."""
@@ -205,7 +228,6 @@
         self._seen_ends = 0
         self._clock_base = None
         self._latest_deadline = 0
-        self._started.clear()
         self._stopping.clear()
         self._running.clear()
         self._ended.clear()
@@ -342,14 +364,11 @@
         while len(self._specs) > MAX_CACHED_SPECS:
             self._specs.popitem(last=False)
 
-    def mark_started(self, run: Run, clock: int) -> None:
-        """Record a run that the runner has started.
-
-        ``clock`` is the runner's clock at that time, in milliseconds.
-        """
+    def mark_started(self, run: Run) -> None:
+        """Record a run that the runner has started."""
         self._starting.pop(run, None)
         if run not in self._running:
-            self._started[run] = clock
+            self._started[run] = self._polls_sent
 
     def resolve_start(self, run: Run, snapshot: RunnerSnapshot, born: int) -> bool:
         """Return whether an unanswered start took effect, and record it if it did.
@@ -364,7 +383,7 @@
             (e.task, e.run) == run for e in snapshot.ended
         )
         if is_listed or ended:
-            self.mark_started(run, snapshot.clock)
+            self.mark_started(run)
         return is_listed or ended
 
     def mark_refused(self, run: Run, reason: str) -> None:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -218,6 +218,7 @@
     """Reply to a poll that the agent has not received yet."""
 
     snapshot: RunnerSnapshot
+    number: int
 
 
 class Agent:
@@ -246,6 +247,7 @@
         if self.runner.silent:
             state.expire_silent_runs(self.world.now())
             return None
+        number = state.begin_poll()
         snapshot = self.runner.poll(
             state.compute_lease_deadline(self.world.now()),
             self.token,
@@ -256,11 +258,11 @@
             return None
         self.heartbeats += 1
         state.update_runner(self.runner.describe(), self.heartbeats)
-        return Poll(snapshot)
+        return Poll(snapshot, number)
 
     def receive(self, poll: Poll) -> None:
         """Receive the reply to a poll."""
-        self.state.apply_snapshot(poll.snapshot, self.world.now())
+        self.state.apply_snapshot(poll.snapshot, self.world.now(), poll.number)
 
     def handle_orders(self, message: HostOrders) -> None:
         for order in self.state.accept_orders(message):
@@ -289,18 +291,19 @@
         if refusal:
             self.state.mark_refused(run, refusal)
         else:
-            self.state.mark_started(run, self.runner.clock())
+            self.state.mark_started(run)
 
     def resolve(self, run: Run) -> None:
         self.token += 1
+        number = self.state.begin_poll()
         snapshot = self.runner.poll(None, self.token, 0)
         if snapshot is None:
             self.token += 5000
             snapshot = self.runner.poll(None, self.token, 0)
         assert snapshot is not None
-        self.state.apply_snapshot(snapshot, self.world.now())
+        self.state.apply_snapshot(snapshot, self.world.now(), number)
         if any((r.task, r.run) == run for r in snapshot.running):
-            self.state.mark_started(run, snapshot.clock)
+            self.state.mark_started(run)
         else:
             self.state.mark_refused(run, "unanswered")
 
