Wait for leases that another process granted before runs count as ended

Cause: have_leases_expired compared the runner's clock with the latest deadline that this agent process had computed, 0 after a restart. What its predecessor had granted, up to 6 s, was taken for nothing. The same holds for a start that the next process of a restarted runner carries out: the deadline, on the former clock, gives it a full lease. Change: a lease ends at the longest lease after the last call that may have extended it: the first list of a runner process counts as such a call, a confirmed start too. The bound comes from the settings, on a clock that is 2% slow. Cost: runs of a silent runner start elsewhere up to a second later than before.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -76,7 +76,8 @@
         self._store = Store(settings.store.address)
         self._runner = Runner(settings.runner.address)
         self._state = AgentState(
-            Identity(settings.host.name, settings.host.peer_address, uuid4().hex[:12])
+            Identity(settings.host.name, settings.host.peer_address, uuid4().hex[:12]),
+            settings.bounds,
         )
         self._pace = PaceController()
         self._pace_adjusted_at = timedelta()
@@ -334,7 +335,7 @@
                 case Success(CommandResult(_, "")):
                     self._count_call("start", None)
                     with self._lock:
-                        self._state.mark_started(run)
+                        self._state.mark_started(run, self._clock.boottime())
                     logger.info("run started", extra={"task": run.task, "run": run.run})
                     return
                 case Success(CommandResult(_, "fence")):
@@ -398,7 +399,9 @@
         self, run: Run, snapshot: RunnerSnapshot, born: int
     ) -> None:
         with self._lock:
-            took_effect = self._state.resolve_start(run, snapshot, born)
+            took_effect = self._state.resolve_start(
+                run, snapshot, born, self._clock.boottime()
+            )
         if not took_effect:
             self._report_refusal(run, "unanswered")
 
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -9,6 +9,7 @@
 
 from egretcrank.agent.pace import PaceController
 from egretcrank.platform.runner import RunnerSnapshot
+from egretcrank.settings.platform import BoundSettings
 from egretcrank.wire.hosting import (
     EndedTask,
     HostOrders,
@@ -39,6 +40,7 @@
 # Jobs whose specification is cached: twice as many as a leader assumes to be cached
 # here. They take at most 2 MB.
 MAX_CACHED_SPECS = 512
+DEFAULT_BOUNDS = BoundSettings()
 # Number of runs that one log line names.
 MAX_LOGGED_RUNS = 20
 
@@ -60,8 +62,11 @@
     described there. Leases may last until ``authority_until``.
     """
 
-    def __init__(self, identity: Identity) -> None:
+    def __init__(
+        self, identity: Identity, bounds: BoundSettings = DEFAULT_BOUNDS
+    ) -> None:
         self._identity = identity
+        self._max_lease = bounds.lease
         self.epoch = 0
         self.session = 0
         self.applied = 0
@@ -81,8 +86,8 @@
         self._full_report_at = timedelta()
         # Clock of the runner in its last reply, in milliseconds, and when that arrived.
         self._clock_base: tuple[int, timedelta] | None = None
-        # Latest lease deadline computed so far, on the runner's clock.
-        self._latest_deadline = 0
+        # Last time at which a call may have extended the lease of the runner's runs.
+        self._renewed_at = timedelta()
         # Number of polls sent so far, and that number at the last reply.
         self._polls_sent = 0
         self._polls_at_reply = 0
@@ -153,6 +158,9 @@
             self._log_new_runner(snapshot)
             self._reset_runner_state()
             self.born = snapshot.born
+            # A former agent process, or a call that was meant for the former runner
+            # process, may have set a lease of any length.
+            self._renewed_at = received_at
             changed = True
         self.has_snapshot = True
         self._polls_at_reply = self._polls_sent
@@ -227,7 +235,6 @@
         self.durable_ends = 0
         self._seen_ends = 0
         self._clock_base = None
-        self._latest_deadline = 0
         self._stopping.clear()
         self._running.clear()
         self._ended.clear()
@@ -247,9 +254,8 @@
         left = (self.authority_until - read_at) * MIN_CLOCK_RATE_RATIO
         if left <= timedelta():
             return None
-        deadline = clock + int(left / timedelta(milliseconds=1))
-        self._latest_deadline = max(self._latest_deadline, deadline)
-        return deadline
+        self._renewed_at = max(self._renewed_at, now)
+        return clock + int(left / timedelta(milliseconds=1))
 
     def is_silent(self, now: timedelta) -> bool:
         """Return whether the runner has not replied within the silence timeout."""
@@ -260,14 +266,12 @@
 
     def have_leases_expired(self, now: timedelta) -> bool:
         """Return whether all runs of an unresponsive runner have certainly ended."""
-        if self._clock_base is None:
-            return True
         if self.runner_left:
             return True
-        clock, read_at = self._clock_base
-        elapsed = (now - read_at - KILL_MARGIN) * MIN_CLOCK_RATE_RATIO
-        runner_clock = clock + elapsed / timedelta(milliseconds=1)
-        return self.is_silent(now) and runner_clock > self._latest_deadline
+        if self._clock_base is None or not self.is_silent(now):
+            return False
+        max_lease = self._max_lease / MIN_CLOCK_RATE_RATIO
+        return now > self._renewed_at + max_lease + KILL_MARGIN
 
     def expire_silent_runs(self, now: timedelta) -> bool:
         """Discard the runs of a silent runner once their leases have expired.
@@ -276,14 +280,14 @@
         """
         if not (self._running or self._started) or not self.have_leases_expired(now):
             return False
-        clock, read_at = self._clock_base or (0, now)
+        _, read_at = self._clock_base or (0, now)
         logger.warning(
             "leases of the unresponsive runner have expired",
             extra={
                 "born": self.born,
                 "silent_seconds": (now - read_at).total_seconds(),
                 "runner_left": self.runner_left,
-                "lease_milliseconds_at_last_reply": self._latest_deadline - clock,
+                "renewed_seconds_ago": (now - self._renewed_at).total_seconds(),
                 "dropped": _format_runs({*self._running, *self._started}),
             },
         )
@@ -364,13 +368,20 @@
         while len(self._specs) > MAX_CACHED_SPECS:
             self._specs.popitem(last=False)
 
-    def mark_started(self, run: Run) -> None:
-        """Record a run that the runner has started."""
+    def mark_started(self, run: Run, confirmed_at: timedelta) -> None:
+        """Record a run that the runner has started.
+
+        The start may have been carried out by another runner process than the one it
+        was meant for, whose clock reaches the deadline of the start much later.
+        """
         self._starting.pop(run, None)
+        self._renewed_at = max(self._renewed_at, confirmed_at)
         if run not in self._running:
             self._started[run] = self._polls_sent
 
-    def resolve_start(self, run: Run, snapshot: RunnerSnapshot, born: int) -> bool:
+    def resolve_start(
+        self, run: Run, snapshot: RunnerSnapshot, born: int, received_at: timedelta
+    ) -> bool:
         """Return whether an unanswered start took effect, and record it if it did.
 
         ``snapshot`` was polled with a higher fencing token, so a start that has had no
@@ -383,7 +394,7 @@
             (e.task, e.run) == run for e in snapshot.ended
         )
         if is_listed or ended:
-            self.mark_started(run)
+            self.mark_started(run, received_at)
         return is_listed or ended
 
     def mark_refused(self, run: Run, reason: str) -> None:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -291,7 +291,7 @@
         if refusal:
             self.state.mark_refused(run, refusal)
         else:
-            self.state.mark_started(run)
+            self.state.mark_started(run, self.world.now())
 
     def resolve(self, run: Run) -> None:
         self.token += 1
@@ -303,7 +303,7 @@
         assert snapshot is not None
         self.state.apply_snapshot(snapshot, self.world.now(), number)
         if any((r.task, r.run) == run for r in snapshot.running):
-            self.state.mark_started(run)
+            self.state.mark_started(run, self.world.now())
         else:
             self.state.mark_refused(run, "unanswered")
 
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -378,14 +378,15 @@
         state = AgentState(Identity("h", "h:1", "i"))
         run = Run("j.0.0.0", 1)
         listed = RunnerSnapshot(5, 2, (RunningTask(*run, "", 0, 0.0),), ())
-        self.assertTrue(state.resolve_start(run, listed, born=1))
-        self.assertFalse(state.resolve_start(run, RunnerSnapshot(5, 2, (), ()), born=1))
+        self.assertTrue(state.resolve_start(run, listed, 1, timedelta()))
+        nothing = RunnerSnapshot(5, 2, (), ())
+        self.assertFalse(state.resolve_start(run, nothing, 1, timedelta()))
         ended = (EndedTask(1, *run, "done", ""),)
         self.assertTrue(
-            state.resolve_start(run, RunnerSnapshot(5, 1, (), ended), born=1)
+            state.resolve_start(run, RunnerSnapshot(5, 1, (), ended), 1, timedelta())
         )
         self.assertFalse(
-            state.resolve_start(run, RunnerSnapshot(5, 2, (), ended), born=1)
+            state.resolve_start(run, RunnerSnapshot(5, 2, (), ended), 1, timedelta())
         )
 
     def test_the_log_tells_what_a_run_without_a_listed_end_was_released_on(self):
