End runs of a runner that left only when nothing listens at its address

Cause: the unregistration names an id and no process. With it one failed poll, of any kind, ended all runs. Change: beside it, the poll has to be refused by the runner's machine: no process listens there. Refused connections have an error kind of their own. A runner that replies for two seconds after the unregistration has not left. Two tests of runners that leave kept a runner that went on replying, or was silent; they now end it, as the platform's pages say, and check as much as before.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -17,6 +17,7 @@
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.election import CONTROLLER_GROUP, SLOT_TOPICS
+from egretcrank.errors.answers import was_not_run
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.observability.exposition import serve_metrics
 from egretcrank.observability.logs import flush_logs
@@ -209,12 +210,13 @@
                     self._advance_token(token)
                 else:
                     self._log_reachability(problem.detail)
-                    self._expire_silent_runs()
+                    self._expire_silent_runs(problem)
         return False
 
-    def _expire_silent_runs(self) -> None:
+    def _expire_silent_runs(self, problem: Problem) -> None:
+        refused = problem.kind is ErrorKind.CONNECTION_REFUSED
         with self._lock:
-            expired = self._state.expire_silent_runs(self._clock.boottime())
+            expired = self._state.expire_silent_runs(self._clock.boottime(), refused)
         if expired:
             self._report_due.set()
 
@@ -345,7 +347,7 @@
                     return
                 case Failure(problem):
                     self._count_call("start", problem)
-                    if problem.kind is ErrorKind.UNREACHABLE:
+                    if was_not_run(problem.kind):
                         self._report_refusal(run, "unreachable")
                     else:
                         logger.warning(
@@ -388,7 +390,8 @@
                             token = max(self._token, token + 1)
                             self._token = token
                         expired = self._state.have_leases_expired(
-                            self._clock.boottime()
+                            self._clock.boottime(),
+                            problem.kind is ErrorKind.CONNECTION_REFUSED,
                         )
                     if expired:
                         self._report_refusal(run, "runner is silent")
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -35,6 +35,9 @@
 # A runner answers a poll within half a second, or at once. It counts as silent after
 # twice that time without a reply.
 RUNNER_SILENCE_TIMEOUT = timedelta(seconds=1)
+# A runner that still replies this long after an unregistration under its id has not
+# left: a former process under the same id has.
+LEAVE_TIMEOUT = timedelta(seconds=2)
 # Time that the runner takes to kill its runs after their lease has expired.
 KILL_MARGIN = timedelta(milliseconds=500)
 # Jobs whose specification is cached: twice as many as a leader assumes to be cached
@@ -78,6 +81,8 @@
         self._heartbeat_sequence = -1
         self.has_snapshot = False
         self.runner_left = False
+        # When the runner had last replied before it left.
+        self._replied_before_leaving_at = timedelta()
         self.born = 0
         self.durable_ends = 0
         self._seen_ends = 0
@@ -138,9 +143,15 @@
         return True
 
     def mark_runner_left(self, runner_id: str) -> None:
-        """Record that the runner has left, unless another one is known by now."""
+        """Record that the runner has left, unless another one is known by now.
+
+        The unregistration names no process, so it may be a delayed one of a former
+        process under the same id. It is no proof that runs have ended.
+        """
         if self.runner is not None and self.runner.runner_id == runner_id:
             self.runner_left = True
+            if self._clock_base is not None:
+                self._replied_before_leaving_at = self._clock_base[1]
 
     def begin_poll(self) -> int:
         """Return the number of a poll that is about to be sent."""
@@ -165,6 +176,7 @@
         self.has_snapshot = True
         self._polls_at_reply = self._polls_sent
         self._clock_base = (snapshot.clock, received_at)
+        changed = self._recheck_leaving(received_at) or changed
         listed = {
             Run(r.task, r.run): self._remove_averaging(r, snapshot)
             for r in snapshot.running
@@ -230,6 +242,21 @@
         clock = self._clock_base[0]
         return snapshot.clock < clock or (concurrent and snapshot.clock == clock)
 
+    def _recheck_leaving(self, replied_at: timedelta) -> bool:
+        """Return whether a runner that was said to have left turns out to go on."""
+        if (
+            not self.runner_left
+            or not self._has_consistent_runner()
+            or replied_at - self._replied_before_leaving_at < LEAVE_TIMEOUT
+        ):
+            return False
+        self.runner_left = False
+        logger.warning(
+            "runner replies after it has left; a former process left",
+            extra={"born": self.born},
+        )
+        return True
+
     def _reset_runner_state(self) -> None:
         """Discard the state of the runner from before its restart."""
         self.durable_ends = 0
@@ -264,29 +291,36 @@
             or now - self._clock_base[1] > RUNNER_SILENCE_TIMEOUT
         )
 
-    def have_leases_expired(self, now: timedelta) -> bool:
-        """Return whether all runs of an unresponsive runner have certainly ended."""
-        if self.runner_left:
+    def have_leases_expired(self, now: timedelta, refused: bool) -> bool:
+        """Return whether all runs of an unresponsive runner have certainly ended.
+
+        ``refused`` tells that no process listens at the runner's address.
+        """
+        if self.runner_left and refused:
             return True
         if self._clock_base is None or not self.is_silent(now):
             return False
         max_lease = self._max_lease / MIN_CLOCK_RATE_RATIO
         return now > self._renewed_at + max_lease + KILL_MARGIN
 
-    def expire_silent_runs(self, now: timedelta) -> bool:
-        """Discard the runs of a silent runner once their leases have expired.
+    def expire_silent_runs(self, now: timedelta, refused: bool) -> bool:
+        """Discard the runs of an unresponsive runner once they have certainly ended.
 
-        Returns whether there were any.
+        ``refused`` tells that no process listens at the runner's address. Returns
+        whether there were any runs.
         """
-        if not (self._running or self._started) or not self.have_leases_expired(now):
+        if not (self._running or self._started):
+            return False
+        if not self.have_leases_expired(now, refused):
             return False
         _, read_at = self._clock_base or (0, now)
         logger.warning(
-            "leases of the unresponsive runner have expired",
+            "runs of the unresponsive runner have ended",
             extra={
                 "born": self.born,
                 "silent_seconds": (now - read_at).total_seconds(),
                 "runner_left": self.runner_left,
+                "refused": refused,
                 "renewed_seconds_ago": (now - self._renewed_at).total_seconds(),
                 "dropped": _format_runs({*self._running, *self._started}),
             },
--- a/src/egretcrank/errors/answers.py
+++ b/src/egretcrank/errors/answers.py
@@ -69,6 +69,7 @@
     ErrorKind.UNSUPPORTED_MESSAGE: Answer(501, Ran.NO),
     ErrorKind.DUPLICATE_CALL: Answer(500, Ran.UNKNOWN),
     ErrorKind.UNREACHABLE: Answer(503, Ran.NO),
+    ErrorKind.CONNECTION_REFUSED: Answer(503, Ran.NO),
     ErrorKind.CALL_TIMEOUT: Answer(504, Ran.UNKNOWN),
     ErrorKind.INTERNAL: Answer(500, Ran.UNKNOWN),
 }
--- a/src/egretcrank/errors/kinds.py
+++ b/src/egretcrank/errors/kinds.py
@@ -44,6 +44,7 @@
     UNSUPPORTED_MESSAGE = "unsupported_message"
     DUPLICATE_CALL = "duplicate_call"
     UNREACHABLE = "unreachable"
+    CONNECTION_REFUSED = "connection_refused"
     CALL_TIMEOUT = "call_timeout"
     INTERNAL = "internal"
 
--- a/src/egretcrank/platform/calls.py
+++ b/src/egretcrank/platform/calls.py
@@ -26,8 +26,9 @@
 class HttpClient:
     """HTTP client of one address with a connection pool; it never retries a request.
 
-    A failure is ``unreachable`` if the request was not sent, and ``call_timeout`` if it
-    may have had an effect.
+    A failure is ``unreachable`` if the request was not sent, ``connection_refused`` if
+    no process listens at the address either, and ``call_timeout`` if the request may
+    have had an effect.
     """
 
     def __init__(self, address: str, connections: int) -> None:
@@ -58,9 +59,9 @@
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
         ) as error:
-            return Failure(
-                self._build_problem(ErrorKind.UNREACHABLE, method, url, error)
-            )
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            kind = ErrorKind.CONNECTION_REFUSED if refused else ErrorKind.UNREACHABLE
+            return Failure(self._build_problem(kind, method, url, error))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return Failure(
                 self._build_problem(ErrorKind.CALL_TIMEOUT, method, url, error)
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -95,8 +95,14 @@
         self.born = 0
         self.draining = False
         self.silent = False
+        self.listening = True
         self.restart()
 
+    def leave(self) -> None:
+        """End the process and with it everything that runs on it."""
+        self.listening = False
+        self.running.clear()
+
     def restart(self) -> None:
         self.born += 1
         self.started_at = self.world.now()
@@ -244,8 +250,8 @@
     def send_poll(self) -> Poll | None:
         """Send a poll, whose reply a test may let arrive late."""
         state = self.state
-        if self.runner.silent:
-            state.expire_silent_runs(self.world.now())
+        if self.runner.silent or not self.runner.listening:
+            state.expire_silent_runs(self.world.now(), not self.runner.listening)
             return None
         number = state.begin_poll()
         snapshot = self.runner.poll(
@@ -277,7 +283,8 @@
     def start(self, order: StartOrder) -> None:
         run = Run(order.task, order.run)
         deadline = self.state.compute_lease_deadline(self.world.now())
-        if deadline is None or self.runner.silent:
+        unreachable = self.runner.silent or not self.runner.listening
+        if deadline is None or unreachable:
             self.state.mark_refused(run, "no authority")
             return
         if self.world.random.random() < self.world.late_start_probability:
--- a/tests/test_cell.py
+++ b/tests/test_cell.py
@@ -277,8 +277,8 @@
         """Guards against a takeover that waits 6 s for a host that has left."""
         world = World(15)
         world.run(1)
-        agent = world.agents["h2"]
-        agent.state.runner_left = True
+        world.runners[2].leave()
+        world.agents["h2"].state.mark_runner_left("h2")
         world.run(1)
         del world.agents["h2"]
         job = world.submit(build_step(width=1))
@@ -314,10 +314,8 @@
         world = World(19)
         world.submit(build_step(long_running=True, width=3))
         world.run(2)
-        runner = world.runners[0]
-        runner.running.clear()
-        runner.silent = True
-        world.agents["h0"].state.runner_left = True
+        world.runners[0].leave()
+        world.agents["h0"].state.mark_runner_left("h0")
         world.run(2)
         self.assertEqual([len(r.running) for r in world.runners], [0, 2, 1])
         self.assertEqual(world.violations, [])
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -1,8 +1,15 @@
 """Tests of what counts as proof that a run has ended, at agents and at the leader."""
 
+import socket
+from datetime import timedelta
+
+from egretcrank.errors.kinds import ErrorKind
+from egretcrank.platform.calls import HttpClient
 from tests.cases import AsyncTestCase
 from tests.cell_world import TICK, World, build_step
 
+TIMEOUT = timedelta(milliseconds=300)
+
 
 class AgentEvidenceTests(AsyncTestCase):
     """Runs that an agent must not report as gone, because they may go on."""
@@ -94,3 +101,18 @@
         self.world.run(90 * TICK.total_seconds())
         self.assertEqual(self.world.violations, [])
         self.assertEqual([len(r.running) for r in self.world.runners[1:]], [1, 2])
+
+
+class RefusedConnectionTests(AsyncTestCase):
+    """What a failed connection tells about the process at the address."""
+
+    def test_only_a_refused_connection_tells_that_no_process_listens(self):
+        """Guards against taking a runner that cannot be reached for one that ended."""
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            refused = HttpClient(address, 1).call("POST", "/", b"", TIMEOUT)
+            self.assertEqual(refused.failure().kind, ErrorKind.CONNECTION_REFUSED)
+            listener.listen(1)
+            silent = HttpClient(address, 1).call("POST", "/", b"", TIMEOUT)
+            self.assertEqual(silent.failure().kind, ErrorKind.CALL_TIMEOUT)
