--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -7,8 +7,11 @@
 
 import random
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
 from datetime import timedelta
 from typing import Any, NamedTuple
+from unittest.mock import patch
 
 from returns.result import Success
 
@@ -33,6 +36,7 @@
     HOSTING_CODEC,
     EndedTask,
     HostOrders,
+    HostReport,
     Run,
     RunnerInfo,
     RunningTask,
@@ -521,3 +525,26 @@
         entry = self.table.find(job_id)
         assert entry is not None
         return entry.phase
+
+
+def deliver(leader: Leader, report: HostReport) -> None:
+    """Hand a report to a leader as it arrives over a connection."""
+    assert leader.cell is not None
+    encoded = HOSTING_CODEC.encode(report, "", report.host)
+    leader.cell.apply_report(HOSTING_CODEC.decode(encoded).unwrap().message)
+
+
+@contextmanager
+def hold_messages(world: World, name: str) -> Iterator[list[HostOrders]]:
+    """Hold up the leaders' messages to one host, and collect them."""
+    held: list[HostOrders] = []
+    send = world.send
+
+    def hold(leader: Leader, host: str, message: HostOrders) -> None:
+        if host == name:
+            held.append(message)
+        else:
+            send(leader, host, message)
+
+    with patch.object(world, "send", hold):
+        yield held
