Believe only reports of the session that the leader has offered

Cause: a report stood for its host by naming the epoch and session, which others had been told as well; any report counted as a sign of life, a permission to register or a reason to remove. Change: each agent process is offered a session of its own number, above all that the host or leader have used, and attaches with a full report that names it. Only reports of that session count, for runs, leases, registration and life. A session ends with the loss of the host, with tasks or without.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -227,47 +227,25 @@
             host = HostState(report.host, report.address)
             host.reported_at = now
             self.hosts[report.host] = host
-        if report.leaving and not host.tasks:
-            if host.registered:
-                self._unregister(host, "its runner left")
-        elif host.address != report.address or not host.registered:
-            host.address = report.address
-            host.registered = False
-            self._changes.mark_host(host.name, present=True)
-        known = (report.epoch, report.session) == (self.epoch, host.session)
-        same_incarnation = known and report.incarnation == host.incarnation
-        if host.incarnation and report.incarnation != host.incarnation:
-            logger.info(
-                "report of another agent process",
-                extra={
-                    "host": host.name,
-                    "incarnation_before": host.incarnation,
-                    "incarnation": report.incarnation,
-                    "report": report.sequence,
-                    "session_known": known,
-                    "full": report.full,
-                },
-            )
-        if same_incarnation and report.sequence <= host.sequence:
+        if not host.names_session(self.epoch, report):
+            self._offer_session(host, report)
+            return
+        if host.attached and report.sequence <= host.sequence:
             return
         host.reply_due = True
+        if not host.attached and not report.full:
+            return
         host.sent_at = report.sent_at
         host.reported_at = now
-        if not known:
-            # The reply carries the epoch; the agent answers it with a full report.
-            host.incarnation = report.incarnation
-            host.sequence = -1
-            host.attached = False
+        if _is_restarted(host, report) and not report.full:
             return
-        restarted = _is_restarted(host, report)
-        if (not same_incarnation or not host.attached or restarted) and not report.full:
-            return
-        if not same_incarnation or not host.attached:
-            self._begin_session(host, report.incarnation)
+        if not host.attached:
+            self._begin_session(host)
         host.sequence = report.sequence
         host.runner_left = report.leaving
         host.runner_silent = report.silent
         host.profiles_due = report.unprofiled > 0
+        self._update_registration(host, report)
         host.outbox.confirm(report.applied, now)
         self._update_runner(host, report)
         for refused in report.refused:
@@ -289,11 +267,47 @@
                 )
                 self._check_takeover()
 
-    def _begin_session(self, host: HostState, incarnation: str) -> None:
-        host.begin_session(incarnation)
+    def _offer_session(self, host: HostState, report: HostReport) -> None:
+        """Offer a session to the agent process that reports outside of the current one.
+
+        The process attaches with a full report that names the session. So a delayed
+        report of a former process, or of a former session, can detach the host, but
+        tells nothing of its runs.
+        """
+        reported = report.session if report.epoch == self.epoch else 0
+        if report.incarnation == host.incarnation and reported <= host.session:
+            # The offer is on its way, or the report is older than the session.
+            host.reply_due = True
+            return
+        logger.info(
+            "session offered",
+            extra={
+                "host": host.name,
+                "incarnation_before": host.incarnation,
+                "incarnation": report.incarnation,
+                "report": report.sequence,
+                "report_epoch": report.epoch,
+                "session": max(host.session, reported) + 1,
+            },
+        )
+        host.address = report.address
+        host.offer_session(report.incarnation, max(host.session, reported) + 1)
+        host.reply_due = True
+
+    def _begin_session(self, host: HostState) -> None:
+        host.begin_session()
         for key in host.tasks:
             self._runs[key].order_number = 0
 
+    def _update_registration(self, host: HostState, report: HostReport) -> None:
+        if report.leaving and not host.tasks:
+            if host.registered:
+                self._unregister(host, "its runner left")
+        elif host.address != report.address or not host.registered:
+            host.address = report.address
+            host.registered = False
+            self._changes.mark_host(host.name, present=True)
+
     def _update_runner(self, host: HostState, report: HostReport) -> None:
         runner = report.runner
         if runner is None:
@@ -481,19 +495,20 @@
             if job.definition.repetitions:
                 self._add_due_occurrences(job)
         for host in list(self.hosts.values()):
-            if now <= host.granted_until + self._settings.lease_margin:
+            if (
+                now <= host.granted_until + self._settings.lease_margin
+                or now - host.reported_at <= self._settings.lease
+            ):
                 continue
-            if host.tasks and now - host.reported_at > self._settings.lease:
+            if host.tasks:
                 logger.warning(
                     "host lost", extra={"host": host.name, "tasks": len(host.tasks)}
                 )
                 self._runs.drop_host_runs(host, HOST_LOST, None)
-                host.session += 1
-                host.begin_session("")
-            if now - host.reported_at > self._settings.lease:
-                host.attached = False
-                if host.registered:
-                    self._unregister(host, "it is silent and its lease is over")
+            if host.attached:
+                host.end_session()
+            if host.registered:
+                self._unregister(host, "it is silent and its lease is over")
             if now - host.reported_at > SILENT_HOST_RETENTION:
                 del self.hosts[host.name]
                 self._pressures.remove_host(host.name)
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -9,6 +9,7 @@
 from egretcrank.scheduling.definitions import Step, TaskKey
 from egretcrank.scheduling.outbox import Outbox
 from egretcrank.wire.hosting import (
+    HostReport,
     RunnerInfo,
     ServingHeadroom,
     StartOrder,
@@ -37,7 +38,8 @@
         self.name = name
         self.address = address
         self.runner: RunnerInfo | None = None
-        # Incarnation of the agent, and numbers of its order session and last report.
+        # Agent process that the session was offered to, number of the session, and that
+        # of the last report in it.
         self.incarnation = ""
         self.session = 0
         self.sequence = -1
@@ -47,8 +49,9 @@
         self.registered = False
         self.runner_left = False
         self.runner_silent = False
+        # When the last report of a session was applied, and when that report was sent,
+        # on the agent's clock.
         self.reported_at = timedelta()
-        # When the last report was sent, on the agent's clock.
         self.sent_at = 0.0
         self.reply_due = False
         self.profiles_due = False
@@ -157,14 +160,32 @@
         """Queue an order for the agent and return its number."""
         return self.outbox.add(order)
 
-    def begin_session(self, incarnation: str) -> None:
-        """Start a session; the agent no longer accepts orders of earlier ones."""
+    def names_session(self, epoch: int, report: HostReport) -> bool:
+        """Return whether a report is of this session, offered to the same process."""
+        return (report.epoch, report.session, report.incarnation) == (
+            epoch,
+            self.session,
+            self.incarnation,
+        )
+
+    def offer_session(self, incarnation: str, session: int) -> None:
+        """Offer a session to an agent process; those before it are void."""
         self.incarnation = incarnation
+        self.session = session
         self.sequence = -1
+        self.attached = False
+
+    def begin_session(self) -> None:
+        """Start the offered session; the agent accepts no orders of earlier ones."""
         self.outbox = Outbox()
         self.unwanted_runs.clear()
         self.sent_pressures = ChangedPressures()
 
+    def end_session(self) -> None:
+        """End the session; the next report of any agent process is offered another."""
+        self.incarnation = ""
+        self.attached = False
+
 
 def _add_to_counter(counter: Counter[str], image: str, change: int) -> None:
     """Add to the count of an image and drop it at zero."""
--- a/tests/test_host_sessions.py
+++ b/tests/test_host_sessions.py
@@ -188,14 +188,15 @@
     def test_a_host_removed_while_its_presence_is_appended_is_not_registered(self):
         """Guards against a second run by a leader that does not wait for the host."""
         world = World(40)
-        world.step()
+        cell = world.leader.cell
+        assert cell is not None
+        while "h0" not in cell.hosts or not cell.hosts["h0"].attached:
+            world.step()
         # The first append of the host is slow, so that another report of it follows.
         world.log.available = False
         world.run(0.3)
         world.log.available = True
         world.step()
-        cell = world.leader.cell
-        assert cell is not None
         self.assertTrue(cell.hosts["h0"].registered)
         # The append that repeats its presence is slow; meanwhile its runner leaves.
         world.log.available = False
