Do not take a host for registered whose removal is queued

Cause: an append that repeats the presence of a host was in flight while the host was removed. Its success marked the host as registered, though the next append removes it. A runner that came back then got tasks on a host that a new leader does not wait for. Change: a host counts as registered only if no removal is queued.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -632,7 +632,7 @@
                 host.reply_due = True
         for name in changes.hosts:
             host = self.hosts.get(name)
-            if host is not None:
+            if host is not None and not self._changes.is_removal_due(name):
                 host.registered = True
 
 
--- a/src/egretcrank/scheduling/changes.py
+++ b/src/egretcrank/scheduling/changes.py
@@ -68,6 +68,10 @@
         """Record that a host is to be registered or removed."""
         self._hosts[name] = present
 
+    def is_removal_due(self, name: str) -> bool:
+        """Return whether the next append removes a host."""
+        return self._hosts.get(name) is False
+
     def mark_pressures(self, pressures: tuple[Pressure, ...]) -> None:
         """Record what is known of the interference between images."""
         self._pressures = pressures
