Send orders to a host only after the leadership was confirmed since it attached

Cause: a leader that has lost the log goes on for as long as its last confirmation allows, up to 6 s. A successor takes over as soon as all hosts have attached to it, as agents refuse orders of former epochs from then on. An agent that is restarted in these seconds does not know the epoch any more; if it attaches to the former leader, both start tasks. Change: orders wait for an append that was sent after the host attached. A former leader's append is refused. The committer is woken for it, so that the wait is one append. Ruled out: hosts that the log does not hold, as their registration is such an append.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -103,7 +103,11 @@
         self._takeover_complete = False
         # Jobs at or above this offset may be started by a successor.
         self._confirmed_end = 0
+        # Last time at which the cell is known to have led.
+        self._confirmed_at = timedelta()
         self._authority_until = timedelta()
+        # When a host last attached.
+        self._attached_at = timedelta()
 
     # Leadership
 
@@ -131,14 +135,16 @@
     def confirm(self, end: int, proven_at: timedelta) -> None:
         """Record that the cell led at ``proven_at``, when the log ended at ``end``."""
         self._confirmed_end = max(self._confirmed_end, end)
-        self._authority_until = max(
-            self._authority_until, proven_at + self._settings.lease
-        )
+        self._confirmed_at = max(self._confirmed_at, proven_at)
+        self._authority_until = self._confirmed_at + self._settings.lease
 
     @property
     def confirmation_due(self) -> bool:
-        """Return whether an accepted job waits for a confirmation of leadership."""
-        return self._highest_offset >= self._confirmed_end
+        """Return whether a job or host waits for a confirmation of leadership."""
+        return (
+            self._highest_offset >= self._confirmed_end
+            or self._attached_at >= self._confirmed_at
+        )
 
     def _check_takeover(self) -> None:
         if self._takeover_complete:
@@ -256,6 +262,7 @@
             self._reconcile_runs(host, report)
             if not host.attached:
                 host.attached = True
+                host.attached_at = self._attached_at = self._clock.boottime()
                 logger.info(
                     "host attached",
                     extra={
@@ -568,7 +575,9 @@
         for host in self.hosts.values():
             if not host.incarnation:
                 continue
-            batch = host.outbox.take(now) if host.attached else EMPTY_BATCH
+            # A successor may have led the host, and a restarted agent forgets it.
+            may_order = host.attached and self._confirmed_at > host.attached_at
+            batch = host.outbox.take(now) if may_order else EMPTY_BATCH
             if not host.reply_due and not batch.orders:
                 continue
             host.reply_due = False
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -45,6 +45,7 @@
         self.sequence = -1
         # Whether a full report was applied in this session, so that the runs are known.
         self.attached = False
+        self.attached_at = timedelta()
         # Whether the host is on the log, so that a new leader waits for its report.
         self.registered = False
         self.runner_left = False
