Let only replies to this agent process confirm its reports

Cause: accept_orders ignored replies that were meant for a former agent process, but confirm_report took their report number, of the other process, for a confirmation: a refusal or a full report that was due was dropped.

--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -504,6 +504,8 @@
         session = (message.epoch, message.session)
         if session != (self.epoch, self.session) or sequence <= 0:
             return
+        if message.incarnation != self._identity.incarnation:
+            return
         if self._full_report_sequence and sequence >= self._full_report_sequence:
             self._full_report_due = False
         self._refused = {
--- a/tests/test_host_sessions.py
+++ b/tests/test_host_sessions.py
@@ -5,7 +5,7 @@
 
 from egretcrank.scheduling.cell import SILENT_HOST_RETENTION
 from egretcrank.scheduling.records import Phase
-from egretcrank.wire.hosting import HostReport
+from egretcrank.wire.hosting import HostOrders, HostReport, Run
 from tests.cases import AsyncTestCase
 from tests.cell_world import (
     SETTINGS,
@@ -182,6 +182,28 @@
         self.assertEqual(world.violations, [])
 
 
+class DelayedReplyTests(AsyncTestCase):
+    """Replies that were meant for a former agent process of the host."""
+
+    def test_a_reply_to_a_former_agent_process_confirms_no_report(self):
+        """Guards against a refusal that the leader never hears of."""
+        world = World(37)
+        world.run(2)
+        agent = world.agents["h0"]
+        agent.state.mark_refused(Run("j.0.0.0", 1), "room")
+        report = agent.state.build_report(world.now(), agent.pace)
+        self.assertEqual(len(report.refused), 1)
+        reply = HostOrders(
+            epoch=report.epoch,
+            session=report.session,
+            incarnation="former",
+            report_sequence=report.sequence,
+        )
+        agent.state.confirm_report(reply)
+        again = agent.state.build_report(world.now(), agent.pace)
+        self.assertEqual(again.refused, report.refused)
+
+
 class RegistrationTests(AsyncTestCase):
     """Hosts that a new leader does not find on the log."""
 
