List runs whose rows lack details, and refuse lists without their process

A row with a missing or odd detail was skipped, so that its run was reported as gone; a list without 'born' was taken for that of another process, and all runs for lost. Found by reading. Change: a row with a task and a run is a run; a list that names no process is a failed poll. Both tests failed before. The test of rows that are skipped names the process now and checks what it did.

--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -159,25 +159,39 @@
                 ErrorKind.UNREACHABLE, f"unexpected status {response.status}", "runner"
             )
         )
-    return decode_body(response.body, _ListBody).map(_build_snapshot)
+    return decode_body(response.body, _ListBody).bind(_build_snapshot)
 
 
-def _build_snapshot(body: _ListBody) -> RunnerSnapshot:
+def _build_snapshot(body: _ListBody) -> Result[RunnerSnapshot, Problem]:
+    """Return the lists, unless they do not tell which runner process they are of."""
+    if body.born <= 0:
+        problem = Problem(
+            ErrorKind.INVALID_MESSAGE, "born is missing", "runner", "a positive integer"
+        )
+        return Failure(problem)
     running = [_parse_running(row) for row in body.running]
     ended = [_parse_ended(row) for row in body.ended]
-    return RunnerSnapshot(
+    snapshot = RunnerSnapshot(
         body.clock_ms,
         body.born,
         tuple(task for task in running if task is not None),
         tuple(task for task in ended if task is not None),
     )
+    return Success(snapshot)
 
 
 def _parse_running(row: list[Any]) -> RunningTask | None:
+    """Return the run of a row; a run whose details are invalid still goes on."""
     match row:
-        case [str(task), int(run), str(checkpoint), int(progress), *rest]:
-            measurement = rest[0] if rest and isinstance(rest[0], int | float) else 0
-            return RunningTask(task, run, checkpoint, progress, float(measurement))
+        case [str(task), int(run), *details]:
+            checkpoint, progress, measurement, *_ = [*details, None, None, None]
+            return RunningTask(
+                task,
+                run,
+                checkpoint if isinstance(checkpoint, str) else "",
+                int(progress) if isinstance(progress, int | float) else 0,
+                float(measurement) if isinstance(measurement, int | float) else 0.0,
+            )
     return None
 
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,7 +27,7 @@
 )
 from egretcrank.scheduling.records import Phase, ProgressRecord, encode_record
 from egretcrank.scheduling.table import JobTable, StoredValue
-from egretcrank.wire.hosting import StartOrder, TaskProfile
+from egretcrank.wire.hosting import RunningTask, StartOrder, TaskProfile
 from tests.cases import AsyncTestCase, ManualClock
 
 MANIFEST = {
@@ -166,11 +166,30 @@
 
     def test_rows_of_other_shapes_are_skipped(self):
         """Guards against an invalid row that discards the valid ones."""
-        body = b'{"clock_ms":5,"running":[["a"],["b.0.0.0",1,"",1]],"ended":[[1,2]]}'
+        body = b'{"clock_ms":5,"born":1,"running":[["a"],["b.0.0.0",1,"",1]],'
+        body += b'"ended":[[1,2]]}'
         snapshot = self._request((200, body)).poll(None, 1, 0, timedelta()).unwrap()
         self.assertEqual([r.task for r in snapshot.running], ["b.0.0.0"])
         self.assertEqual(snapshot.ended, ())
 
+    def test_a_run_with_invalid_details_is_still_listed(self):
+        """Guards against a second run of a task whose row could not be read."""
+        rows = b'["a.0.0.0",1],["b.0.0.0",2,null,1.5,"fast"],["c.0.0.0",3,"s"]'
+        body = b'{"clock_ms":5,"born":1,"running":[' + rows + b'],"ended":[]}'
+        snapshot = self._request((200, body)).poll(None, 1, 0, timedelta()).unwrap()
+        expected = [
+            RunningTask("a.0.0.0", 1, "", 0, 0.0),
+            RunningTask("b.0.0.0", 2, "", 1, 0.0),
+            RunningTask("c.0.0.0", 3, "s", 0, 0.0),
+        ]
+        self.assertEqual(list(snapshot.running), expected)
+
+    def test_a_list_of_an_unknown_runner_process_is_refused(self):
+        """Guards against runs that count as lost because a reply lacks a field."""
+        body = b'{"clock_ms":5,"running":[],"ended":[]}'
+        reply = self._request((200, body)).poll(None, 1, 0, timedelta())
+        self.assertEqual(reply.failure().kind, ErrorKind.INVALID_MESSAGE)
+
     def test_only_an_answer_proves_that_a_start_had_no_effect(self):
         """Guards against a second start after one whose outcome is unknown."""
         order = StartOrder("a.0.0.0", 1, "", "", "", TaskProfile(1, False, "", 0.0))
