Take no run for gone that a list of 500 ends may leave out

Found by reading; reached only after a long outage of the log. Change: with such a list, runs that it lacks are kept, and unanswered starts stay open; a reply that is older than the one applied still adds ends. Three tests failed before.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -382,8 +382,8 @@
             match self._runner.poll(None, token, 0, timedelta()):
                 case Success(snapshot):
                     self._apply_snapshot(snapshot, poll)
-                    self._resolve_start_from(run, snapshot, born)
-                    return
+                    if self._resolve_start_from(run, snapshot, born):
+                        return
                 case Failure(problem):
                     with self._lock:
                         if problem.kind is ErrorKind.STALE_EPOCH:
@@ -400,13 +400,18 @@
 
     def _resolve_start_from(
         self, run: Run, snapshot: RunnerSnapshot, born: int
-    ) -> None:
+    ) -> bool:
+        """Return whether a reply tells the outcome of a start, and record it."""
         with self._lock:
             took_effect = self._state.resolve_start(
                 run, snapshot, born, self._clock.boottime()
             )
-        if not took_effect:
-            self._report_refusal(run, "unanswered")
+        if took_effect:
+            return True
+        if snapshot.has_more_ends:
+            return False
+        self._report_refusal(run, "unanswered")
+        return True
 
     # Reports
 
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -162,9 +162,9 @@
         self, snapshot: RunnerSnapshot, received_at: timedelta, poll: int
     ) -> bool:
         """Apply the reply to poll number ``poll``; return whether to report it."""
-        changed = False
         if self._is_outdated(snapshot, poll):
-            return False
+            return snapshot.born == self.born and self._add_ends(snapshot)
+        changed = False
         if snapshot.born != self.born:
             self._log_new_runner(snapshot)
             self._reset_runner_state()
@@ -186,10 +186,18 @@
             Run(r.task, r.run): r.measurement for r in snapshot.running
         }
         for run, polls_sent in list(self._started.items()):
-            if run in listed or poll > polls_sent:
+            if run in listed or (poll > polls_sent and not snapshot.has_more_ends):
                 del self._started[run]
+        if snapshot.has_more_ends:
+            # The runs that are not listed may be among the ends that are left out.
+            listed = {**self._running, **listed}
         self._running = listed
         self._stopping &= set(listed)
+        return self._add_ends(snapshot) or changed
+
+    def _add_ends(self, snapshot: RunnerSnapshot) -> bool:
+        """Add the ends of a list and return whether there are new ones."""
+        changed = False
         for ended in snapshot.ended:
             if ended.number > self.durable_ends and ended.number not in self._ended:
                 self._ended[ended.number] = ended
@@ -427,8 +435,12 @@
         ended = snapshot.born == born and any(
             (e.task, e.run) == run for e in snapshot.ended
         )
-        if is_listed or ended:
+        if is_listed:
             self.mark_started(run, received_at)
+        elif ended:
+            # Its end may be acknowledged already, and must not be followed by a report
+            # that lists it as running.
+            self._starting.pop(run, None)
         return is_listed or ended
 
     def mark_refused(self, run: Run, reason: str) -> None:
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -15,6 +15,8 @@
 # Timeout of a poll beyond the wait that it requests.
 POLL_MARGIN = timedelta(milliseconds=900)
 MAX_CONNECTIONS = 6
+# Number of ended tasks that a runner lists at a time.
+MAX_LISTED_ENDS = 500
 INSTANCE_HEADER = "Egretcrank-Expected-Instance"
 
 
@@ -29,12 +31,16 @@
 
 
 class RunnerSnapshot(NamedTuple):
-    """Running and ended tasks of a runner; ``clock`` is its clock in milliseconds."""
+    """Running and ended tasks of a runner; ``clock`` is its clock in milliseconds.
+
+    ``has_more_ends`` tells that the list of ended tasks may lack some.
+    """
 
     clock: int
     born: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    has_more_ends: bool = False
 
 
 class _CommandBody(msgspec.Struct):
@@ -176,6 +182,7 @@
         body.born,
         tuple(task for task in running if task is not None),
         tuple(task for task in ended if task is not None),
+        len(ended) >= MAX_LISTED_ENDS,
     )
     return Success(snapshot)
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -184,6 +184,15 @@
         ]
         self.assertEqual(list(snapshot.running), expected)
 
+    def test_a_full_list_of_ends_may_lack_some(self):
+        """Guards against taking tasks that ended for tasks that are gone."""
+        for count, has_more in ((499, False), (500, True)):
+            ended = [[n + 1, "a.0.0.0", n + 1, "done", ""] for n in range(count)]
+            document = {"clock_ms": 5, "born": 1, "running": [], "ended": ended}
+            reply = self._request((200, msgspec.json.encode(document)))
+            snapshot = reply.poll(None, 1, 0, timedelta()).unwrap()
+            self.assertEqual(snapshot.has_more_ends, has_more)
+
     def test_a_list_of_an_unknown_runner_process_is_refused(self):
         """Guards against runs that count as lost because a reply lacks a field."""
         body = b'{"clock_ms":5,"running":[],"ended":[]}'
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -3,8 +3,11 @@
 import socket
 from datetime import timedelta
 
+from egretcrank.agent.state import FULL_REPORT_INTERVAL
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.platform.calls import HttpClient
+from egretcrank.platform.runner import RunnerSnapshot
+from egretcrank.wire.hosting import EndedTask, Run
 from tests.cases import AsyncTestCase
 from tests.cell_world import TICK, World, build_step
 
@@ -90,6 +93,36 @@
         agent.receive(former)
         self.assertEqual(agent.state.born, born)
 
+    def test_an_unanswered_start_that_has_ended_is_not_listed_as_running(self):
+        """Guards against a run that seems to go on after its end was acknowledged."""
+        agent = self.world.agents["h0"]
+        state, run = agent.state, Run("j.0.0.0", 1)
+        ended = (EndedTask(1, *run, "done", ""),)
+        reply = RunnerSnapshot(self.runner.clock(), self.runner.born, (), ended)
+        now = self.world.now()
+        state.durable_ends = 1
+        self.assertTrue(state.resolve_start(run, reply, self.runner.born, now))
+        later = now + FULL_REPORT_INTERVAL
+        report = state.build_report(later, agent.pace)
+        self.assertNotIn(run.task, [running.task for running in report.running])
+
+    def test_a_run_that_is_left_out_of_a_full_list_of_ends_is_not_gone(self):
+        """Guards against running a finished task again after a long log outage.
+
+        A runner lists 500 ended tasks at a time.
+        """
+        agent = self.world.agents["h0"]
+        state = agent.state
+        (run,) = [Run(running.task, running.run) for running in state.running]
+        ended = (EndedTask(1, "j.0.0.0", 1, "done", ""),)
+        clock, born = self.runner.clock() + 1, self.runner.born
+        reply = RunnerSnapshot(clock, born, (), ended, has_more_ends=True)
+        state.apply_snapshot(reply, self.world.now(), state.begin_poll())
+        self.assertEqual([(r.task, r.run) for r in state.running], [run])
+        reply = RunnerSnapshot(clock + 1, born, (), ended)
+        state.apply_snapshot(reply, self.world.now(), state.begin_poll())
+        self.assertEqual(state.running, [])
+
     def test_tasks_do_not_wait_for_an_agent_without_a_runner(self):
         """Guards against tasks that wait forever for a host whose runner is gone.
 
