Let the soak's runners live several lives, drain and reply late

The users saw two runs of one task at once with real processes; the soak did not show it, as it lacked the faults that may lead to it: lives of a runner in series under one id, a late DELETE, faults that meet on one host, replies that overtake each other. A call to a life that is over now ends without a reply, and a start that is carried out late is no longer answered with 503, which promises no effect. The observer names runners, runs, lives and times of 'runs twice'; the test checks that whole text. runners.log traces faults and runners.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,7 +1,8 @@
 """Run the daemons under random faults and check what callers and runners observe.
 
 ``python -m bench.soak --seed N --seconds S`` prints one JSON line and exits with 1 if
-an invariant was violated. The processes log to the directory that the line names.
+an invariant was violated. The processes log to the directory that the line names; its
+``runners.log`` lists the faults and what the runners did.
 """
 
 import argparse
@@ -38,6 +39,8 @@
         }
     finally:
         cluster.stop()
+        trace = "\n".join([*cluster.observer.events, ""])
+        (directory / "runners.log").write_text(trace)
 
 
 def main() -> None:
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -13,6 +13,9 @@
 PAUSE_SECONDS = (0.1, 0.8)
 CALL_TIMEOUT_SECONDS = 3.0
 MAX_ATTEMPTS = 8
+# Jobs of one small task that lasts, so that a run given up by mistake still goes on.
+LONG_JOB_PROBABILITY = 0.25
+LONG_TASK_SECONDS = (3.0, 6.0)
 # Time that accepted jobs have to end after the last fault. It covers two leases, a
 # restart of every process and the work that was lost.
 COMPLETION_TIMEOUT_SECONDS = 45.0
@@ -45,12 +48,18 @@
         while not self._stopped.wait(rng.uniform(*PAUSE_SECONDS)):
             job = f"{rng.getrandbits(64):016x}"
             cpu = rng.choice([500, 1500, 2500])
+            seconds = rng.uniform(0.1, 2.0)
+            step = {"count": rng.randint(1, 3), "mem_mb": 10, "estimated_ms": 1000}
+            step_count = rng.randint(1, 2)
+            if rng.random() < LONG_JOB_PROBABILITY:
+                cpu, step_count = 500, 1
+                seconds = rng.uniform(*LONG_TASK_SECONDS)
+                step |= {"count": 1, "estimated_ms": 4000}
+            step["cpu"] = cpu
             spec = msgspec.json.encode(
-                {"seconds": round(rng.uniform(0.1, 2.0), 2), "cpu": cpu}
+                {"seconds": round(seconds, 2), "cpu": cpu}
             ).decode()
-            step = {"count": rng.randint(1, 3), "cpu": cpu, "mem_mb": 10}
-            step["estimated_ms"] = 1000
-            steps = [step, {**step, "depends_on": [0]}][: rng.randint(1, 2)]
+            steps = [step, {**step, "depends_on": [0]}][:step_count]
             body = msgspec.json.encode({"spec": spec, "steps": steps})
             with self._lock:
                 self.sent[job] = spec
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -7,8 +7,10 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 
 from bench.soak.processes import Daemon, SoakCluster
+from bench.standins.platform_runner import PlatformRunner
 from bench.standins.platform_store import StoreMode
 
 PAUSE_SECONDS = (0.2, 2.5)
@@ -16,6 +18,19 @@
 FREEZE_SECONDS = (0.5, 8.0)
 OUTAGE_SECONDS = (0.5, 7.0)
 START_DELAY_PROBABILITY = 0.3
+LIVES = (2, 5)
+LIFE_SECONDS = (0.3, 4.0)
+RUNNER_DOWN_SECONDS = (0.2, 1.5)
+DRAIN_SECONDS = (0.5, 3.0)
+UNREGISTER_DELAY_SECONDS = (0.3, 4.0)
+AGENT_DOWN_SECONDS = (0.0, 0.5)
+# Long enough for the next agent process to start and poll the runner once.
+SILENCE_START_SECONDS = (0.0, 2.5)
+SILENCE_SECONDS = (1.0, 5.0)
+CONTROLLER_FREEZE_SECONDS = (0.5, 2.5)
+LATE_REPLIES = (0.5, 0.0, 0.15)
+SLOW_REPLIES = (1.0, 0.05, 0.4)
+LATE_SECONDS = (2.0, 8.0)
 
 
 class FaultInjector:
@@ -26,7 +41,7 @@
         self._rng = random.Random(seed)
         self._timers: list[threading.Timer] = []
         self.counts: Counter[str] = Counter()
-        self._faults: list[Callable[[], None]] = [
+        process_faults = [
             self._kill_one,
             self._kill_one,
             self._terminate_one,
@@ -43,6 +58,24 @@
             self._silence_runner,
             self._delay_starts,
         ]
+        # Several of these meet on one host, which chance alone rarely brings about.
+        host_faults = [
+            self._begin_lives,
+            self._begin_lives,
+            self._drain_runner,
+            self._drain_runner,
+            self._kill_agent_of_silent_runner,
+            self._kill_agent_of_silent_runner,
+            self._freeze_agent_of_new_life,
+            self._kill_agent_of_frozen_leader,
+            self._silence_runner,
+            self._send_late_replies,
+            self._slow_machines,
+        ]
+        # Seeds differ in emphasis: one kind of faults at a time is easier to trace.
+        self._faults: list[Callable[[], None]] = self._rng.choice(
+            [process_faults, host_faults, process_faults + host_faults]
+        )
 
     def run(self, seconds: float) -> None:
         """Inject faults for a number of seconds."""
@@ -50,7 +83,9 @@
         while time.monotonic() < deadline:
             time.sleep(self._rng.uniform(*PAUSE_SECONDS))
             fault = self._rng.choice(self._faults)
-            self.counts[fault.__name__.strip("_")] += 1
+            name = fault.__name__.strip("_")
+            self.counts[name] += 1
+            self._cluster.observer.note(f"fault: {name}")
             fault()
 
     def recover(self) -> None:
@@ -60,6 +95,8 @@
         self._cluster.store.mode = StoreMode.UP
         for runner in self._cluster.runners:
             runner.start_delay_probability = 0.0
+            runner.late_replies = (0.0, 0.0, 0.0)
+            runner.begin_life()
         for daemon in self._cluster.daemons:
             daemon.send_signal(signal.SIGCONT)
             daemon.start()
@@ -67,10 +104,20 @@
     def _schedule(
         self, delay_range: tuple[float, float], action: Callable[[], None]
     ) -> None:
-        timer = threading.Timer(self._rng.uniform(*delay_range), action)
+        self._schedule_at(self._rng.uniform(*delay_range), action)
+
+    def _schedule_at(self, delay: float, action: Callable[[], None]) -> None:
+        timer = threading.Timer(delay, action)
         timer.start()
         self._timers.append(timer)
 
+    def _note(self, text: str) -> None:
+        self._cluster.observer.note(f"fault: {text}")
+
+    def _choose_host(self) -> tuple[PlatformRunner, Daemon]:
+        number = self._rng.randrange(len(self._cluster.runners))
+        return self._cluster.runners[number], self._cluster.agents[number]
+
     def _choose_daemon(self) -> Daemon:
         return self._rng.choice(self._cluster.daemons)
 
@@ -127,11 +174,108 @@
         self._rng.choice(self._cluster.runners).restart()
 
     def _silence_runner(self) -> None:
-        runner = self._rng.choice(self._cluster.runners)
-        runner.silent_until = time.monotonic() + self._rng.uniform(*OUTAGE_SECONDS)
+        runner, _ = self._choose_host()
+        self._silence(runner, self._rng.uniform(*OUTAGE_SECONDS))
+
+    def _silence(self, runner: PlatformRunner, seconds: float) -> None:
+        self._note(f"{runner.name} is silent for {seconds:.2f} s")
+        runner.silent_until = time.monotonic() + seconds
 
     def _delay_starts(self) -> None:
         runner = self._rng.choice(self._cluster.runners)
         runner.start_delay_probability = (
             START_DELAY_PROBABILITY if not runner.start_delay_probability else 0.0
         )
+
+    def _begin_lives(self) -> None:
+        """Let a runner go down and up by turns under the same id."""
+        runner, _ = self._choose_host()
+        self._schedule_lives(runner, 0.0)
+
+    def _schedule_lives(self, runner: PlatformRunner, first: float) -> None:
+        at = first
+        for _ in range(self._rng.randint(*LIVES)):
+            down = self._rng.uniform(*RUNNER_DOWN_SECONDS)
+            if self._rng.random() < 0.5:
+                self._schedule_at(at, runner.end_life)
+                self._schedule_at(at + down, runner.begin_life)
+            else:
+                self._schedule_at(at, partial(self._silence, runner, down))
+                self._schedule_at(at + down, runner.restart)
+            at += down + self._rng.uniform(*LIFE_SECONDS)
+
+    def _drain_runner(self) -> None:
+        """Let a runner drain, unregister, end and begin a life under the same id."""
+        runner, _ = self._choose_host()
+        seconds = self._rng.uniform(*DRAIN_SECONDS)
+        late = self._rng.random() < 0.5
+        delay = self._rng.uniform(*UNREGISTER_DELAY_SECONDS) if late else 0.0
+        down = self._rng.uniform(*RUNNER_DOWN_SECONDS)
+        runner.drain(seconds)
+        self._schedule_at(seconds, partial(runner.leave, delay))
+        self._schedule_at(seconds + down, runner.begin_life)
+        if late and self._rng.random() < 0.5:
+            start = seconds + max(down, delay)
+            silence = self._rng.uniform(*SILENCE_SECONDS)
+            self._schedule_at(start + 0.5, partial(self._silence, runner, silence))
+
+    def _kill_agent(self, agent: Daemon) -> None:
+        self._note(f"{agent.name} is killed")
+        agent.send_signal(signal.SIGKILL)
+        self._schedule(AGENT_DOWN_SECONDS, agent.start)
+
+    def _kill_agent_of_silent_runner(self) -> None:
+        runner, agent = self._choose_host()
+        self._kill_agent(agent)
+        seconds = self._rng.uniform(*SILENCE_SECONDS)
+        self._schedule(SILENCE_START_SECONDS, partial(self._silence, runner, seconds))
+
+    def _freeze_agent(self, daemon: Daemon) -> None:
+        self._note(f"{daemon.name} is stopped")
+        daemon.send_signal(signal.SIGSTOP)
+        self._schedule(FREEZE_SECONDS, lambda: daemon.send_signal(signal.SIGCONT))
+
+    def _freeze_agent_of_new_life(self) -> None:
+        runner, agent = self._choose_host()
+        self._freeze_agent(agent)
+        if self._rng.random() < 0.5:
+            self._schedule_lives(runner, self._rng.uniform(0.0, 1.0))
+            return
+        leaves_at = self._rng.uniform(0.0, 1.0)
+        down = self._rng.uniform(*RUNNER_DOWN_SECONDS)
+        delay = self._rng.uniform(0.0, UNREGISTER_DELAY_SECONDS[1])
+        self._schedule_at(leaves_at, partial(runner.leave, delay))
+        self._schedule_at(leaves_at + down, runner.begin_life)
+
+    def _kill_agent_of_frozen_leader(self) -> None:
+        """Hold up the reports of an agent process until its successor has reported."""
+        _, agent = self._choose_host()
+        controller = self._rng.choice(self._cluster.controllers)
+        self._note(f"{controller.name} is stopped")
+        controller.send_signal(signal.SIGSTOP)
+        self._schedule(
+            CONTROLLER_FREEZE_SECONDS, lambda: controller.send_signal(signal.SIGCONT)
+        )
+        killed_at = self._rng.uniform(0.0, 0.6)
+        self._schedule_at(killed_at, partial(agent.send_signal, signal.SIGKILL))
+        self._schedule_at(
+            killed_at + self._rng.uniform(*AGENT_DOWN_SECONDS), agent.start
+        )
+
+    def _send_late_replies(self) -> None:
+        """Let replies of a runner overtake each other."""
+        runner, _ = self._choose_host()
+        self._delay_replies(runner, LATE_REPLIES)
+
+    def _slow_machines(self) -> None:
+        for runner in self._rng.sample(self._cluster.runners, 2):
+            self._delay_replies(runner, SLOW_REPLIES)
+
+    def _delay_replies(
+        self, runner: PlatformRunner, replies: tuple[float, float, float]
+    ) -> None:
+        runner.late_replies = replies
+        self._schedule(LATE_SECONDS, partial(self._end_delays, runner))
+
+    def _end_delays(self, runner: PlatformRunner) -> None:
+        runner.late_replies = (0.0, 0.0, 0.0)
--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -1,18 +1,23 @@
 """In-process stand-in for a runner of the platform, by its published protocol.
 
+A runner has lives in series under one id. Each begins with nothing held and serves on
+a listening socket of its own; calls of a life that is over end without a reply.
+
 Tasks only sleep: ``spec`` is a JSON document with the ``seconds`` and the ``cpu``
 (millicores) of each of the job's tasks.
 """
 
 import http.client
 import random
+import socket
 import threading
 import time
 from collections.abc import Callable, Iterable
+from datetime import UTC, datetime
 from typing import Any, NamedTuple
 
 import msgspec
-from cheroot.wsgi import Server
+from cheroot.wsgi import Gateway_10, Server
 
 THREADS = 8
 HEARTBEAT_SECONDS = 0.3
@@ -22,6 +27,10 @@
 MAX_LEASE_MILLISECONDS = 6000
 POLL_SECONDS = 0.02
 START_DELAY_SECONDS = (0.8, 3.0)
+# Times that a runner sends its unregistration without getting a reply.
+MAX_UNREGISTER_ATTEMPTS = 3
+BIND_TIMEOUT_SECONDS = 10.0
+CONNECTION_KEY = "egretcrank.connection"
 _EMPTY_REPLY: dict[str, Any] = {}
 
 Environ = dict[str, Any]
@@ -39,10 +48,24 @@
 
 class _Run(NamedTuple):
     run: int
+    started_at: float
     ends_at: float
     cpu: int
 
 
+class _NoReplyError(Exception):
+    """The connection of a call ends without a reply."""
+
+
+class _Gateway(Gateway_10):
+    """Gateway that lets the application close the connection without a reply."""
+
+    def respond(self) -> None:
+        """Process the request, with its connection in the environment."""
+        self.env[CONNECTION_KEY] = self.req.conn.socket
+        super().respond()
+
+
 class Observer:
     """Records events of all runners and checks the invariants that span them."""
 
@@ -52,6 +75,11 @@
         self.starts: list[TaskStart] = []
         self.acknowledged: set[str] = set()
         self.problems: list[str] = []
+        self.events: list[str] = []
+
+    def note(self, event: str) -> None:
+        """Record an event for the trace of the runners and the faults."""
+        self.events.append(f"{datetime.now(UTC).isoformat()} {event}")
 
     def record_start(self, runner: "PlatformRunner", started: TaskStart) -> None:
         """Record and check a start; the caller must hold the lock."""
@@ -59,7 +87,14 @@
         for other in self.runners:
             other.expire()
             if started.task in other.running:
-                self.problems.append(f"{started.task} runs twice")
+                before = other.running[started.task]
+                seconds = time.monotonic() - before.started_at
+                self.problems.append(
+                    f"{started.task} runs twice: {runner.name} (born {runner.born}) "
+                    f"starts run {started.run} at {datetime.now(UTC).isoformat()}, "
+                    f"{seconds:.3f} s after {other.name} (born {other.born}) "
+                    f"started run {before.run}"
+                )
         if started.task in self.acknowledged:
             self.problems.append(f"{started.task} starts after it was done")
         used = sum(run.cpu for run in runner.running.values())
@@ -75,17 +110,21 @@
     ) -> None:
         self.name, self.address, self.cpu = name, address, cpu
         self.start_delay_probability = 0.0
-        self.silent_until = 0.0
+        # Share of the replies that are sent late, and their delay in seconds.
+        self.late_replies = (0.0, 0.0, 0.0)
         self._control = control
         self._observer = observer
         self._random = random.Random(name)
-        host, _, port = address.rpartition(":")
-        self._server = Server((host, int(port)), self, numthreads=THREADS, max=THREADS)
-        self._stopped = threading.Event()
+        self._server: Server | None = None
+        # Grows whenever a life begins or ends.
+        self._life = 0
         self._reset()
         observer.runners.append(self)
 
     def _reset(self) -> None:
+        self._life += 1
+        self.silent_until = 0.0
+        self._draining_until: float | None = None
         self.born = int(time.time() * 1000)
         self._started_at = time.monotonic()
         self.token = 0
@@ -96,86 +135,184 @@
         self._ended: list[list[Any]] = []
         self._end_count = 0
 
-    def restart(self) -> None:
-        """Simulate a restart that loses all state."""
+    def begin_life(self) -> None:
+        """Begin a life that knows nothing of those before, unless one goes on."""
         with self._observer.lock:
+            if self._server is not None:
+                return
+            self._server = self._listen()
             self._reset()
+            life = self._life
+            self._observer.note(f"{self.name} begins a life, born {self.born}")
+            for target, args in (
+                (self._server.serve, ()),
+                (self._send_heartbeats, (life,)),
+            ):
+                threading.Thread(target=target, args=args, daemon=True).start()
+
+    def _listen(self) -> Server:
+        host, _, port = self.address.rpartition(":")
+        deadline = time.monotonic() + BIND_TIMEOUT_SECONDS
+        while True:
+            server = Server((host, int(port)), self, numthreads=THREADS, max=THREADS)
+            server.gateway = _Gateway
+            try:
+                server.prepare()
+            except OSError:
+                # The former life's socket is still being closed.
+                if time.monotonic() > deadline:
+                    raise
+                time.sleep(POLL_SECONDS)
+            else:
+                return server
+
+    def end_life(self) -> None:
+        """End the life as in a crash: all runs end, and the port refuses."""
+        with self._observer.lock:
+            server, self._server = self._server, None
+            if server is None:
+                return
+            held = [f"{task}/{run.run}" for task, run in self.running.items()]
+            self._observer.note(f"{self.name} ends, born {self.born}, held {held}")
+            self._reset()
+        threading.Thread(target=server.stop, daemon=True).start()
+
+    def restart(self) -> None:
+        """End the life and begin the next one at once."""
+        self.end_life()
+        self.begin_life()
+
+    def drain(self, seconds: float) -> None:
+        """Report the runner as draining until it leaves in some seconds."""
+        with self._observer.lock:
+            self._draining_until = time.monotonic() + seconds
+            self._observer.note(f"{self.name} drains, born {self.born}")
+
+    def leave(self, delay: float) -> None:
+        """Unregister and end; the call reaches the agent's machine after a delay."""
+        with self._observer.lock:
+            if self._server is None:
+                return
+            self._observer.note(f"{self.name} leaves, DELETE {delay:.2f} s late")
+        threading.Thread(target=self._unregister, args=(delay,), daemon=True).start()
+        self.end_life()
+
+    def _unregister(self, delay: float) -> None:
+        time.sleep(delay)
+        for _ in range(MAX_UNREGISTER_ATTEMPTS):
+            answered = self._call_agent("DELETE", None)
+            self._observer.note(f"{self.name} sent DELETE, answered: {answered}")
+            if answered:
+                return
 
     def start(self) -> None:
-        """Start the HTTP server and the heartbeats on background threads."""
-        self._server.prepare()
-        threading.Thread(target=self._server.serve, daemon=True).start()
-        threading.Thread(target=self._send_heartbeats, daemon=True).start()
+        """Begin the first life."""
+        self.begin_life()
 
     def stop(self) -> None:
-        """Stop the server and the heartbeats."""
-        self._stopped.set()
-        self._server.stop()
+        """End the last life."""
+        self.end_life()
 
     def _read_clock(self) -> int:
         return int((time.monotonic() - self._started_at) * 1000 * CLOCK_RATE)
 
-    def _send_heartbeats(self) -> None:
-        while not self._stopped.wait(HEARTBEAT_SECONDS):
-            if time.monotonic() < self.silent_until:
-                continue
+    def _send_heartbeats(self, life: int) -> None:
+        while True:
             with self._observer.lock:
-                self.sequence += 1
-                heartbeat = {
-                    "service": "s",
-                    "address": self.address,
-                    "zone": "z",
-                    "version": "v1",
-                    "slots": 8,
-                    "state": "ready",
-                    "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0},
-                    "labels": ["a", "r1"],
-                    "clock_ms": self._read_clock(),
-                    "sequence": self.sequence,
-                    "born": self.born,
-                }
-            host, _, port = self._control.rpartition(":")
-            connection = http.client.HTTPConnection(
-                host, int(port), timeout=HEARTBEAT_TIMEOUT_SECONDS
-            )
-            try:
-                connection.request(
-                    "PUT", f"/-/instances/{self.name}", msgspec.json.encode(heartbeat)
-                )
-                connection.getresponse().read()
-            except (OSError, http.client.HTTPException):
-                # The agent is unreachable; the next heartbeat tries again.
-                pass
-            finally:
-                connection.close()
+                if self._life != life:
+                    return
+                heartbeat = self._build_heartbeat()
+            if time.monotonic() >= self.silent_until:
+                self._call_agent("PUT", heartbeat)
+            time.sleep(HEARTBEAT_SECONDS)
+
+    def _build_heartbeat(self) -> dict[str, Any]:
+        self.sequence += 1
+        heartbeat = {
+            "service": "s",
+            "address": self.address,
+            "zone": "z",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0},
+            "labels": ["a", "r1"],
+            "clock_ms": self._read_clock(),
+            "sequence": self.sequence,
+            "born": self.born,
+        }
+        if self._draining_until is not None:
+            left = max(0.0, self._draining_until - time.monotonic())
+            heartbeat |= {"state": "draining", "remaining_ms": int(left * 1000)}
+        return heartbeat
+
+    def _call_agent(self, method: str, body: dict[str, Any] | None) -> bool:
+        """Make one call about this runner and return whether it was answered."""
+        host, _, port = self._control.rpartition(":")
+        connection = http.client.HTTPConnection(
+            host, int(port), timeout=HEARTBEAT_TIMEOUT_SECONDS
+        )
+        data = None if body is None else msgspec.json.encode(body)
+        try:
+            connection.request(method, f"/-/instances/{self.name}", data)
+            connection.getresponse().read()
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+        return True
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Handle one call of the agent."""
+        life = self._life
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = msgspec.json.decode(environ["wsgi.input"].read(length))
-        time.sleep(max(0.0, self.silent_until - time.monotonic()))
-        path = environ["PATH_INFO"]
+        try:
+            self._stay_silent(life)
+            status, answer = self._handle(environ["PATH_INFO"], body, life)
+            # Replies that were built earlier may be sent later.
+            share, least, most = self.late_replies
+            if self._random.random() < share:
+                time.sleep(self._random.uniform(least, most))
+            self._stay_silent(life)
+        except _NoReplyError:
+            environ[CONNECTION_KEY].shutdown(socket.SHUT_RDWR)
+            status, answer = 503, _EMPTY_REPLY
+        data = msgspec.json.encode(answer)
+        start(f"{status} -", [("Content-Length", str(len(data)))])
+        return [data]
+
+    def _stay_silent(self, life: int) -> None:
+        while time.monotonic() < self.silent_until:
+            self._check_life(life)
+            time.sleep(POLL_SECONDS)
+        self._check_life(life)
+
+    def _check_life(self, life: int) -> None:
+        if self._life != life:
+            raise _NoReplyError
+
+    def _handle(
+        self, path: str, body: dict[str, Any], life: int
+    ) -> tuple[int, dict[str, Any]]:
         if (
             path == "/-/run-start"
             and self._random.random() < self.start_delay_probability
         ):
             delay = self._random.uniform(*START_DELAY_SECONDS)
-            born = self.born
-            threading.Timer(delay, self._start_delayed, (body, born)).start()
+            threading.Timer(delay, self._start_delayed, (body, life)).start()
             time.sleep(START_DELAY_SECONDS[0])
-            status, answer = 503, _EMPTY_REPLY
-        elif path == "/-/hold":
-            status, answer = self._handle_hold(body)
-        else:
-            with self._observer.lock:
-                status, answer = self._handle_order(path, body)
-        data = msgspec.json.encode(answer)
-        start(f"{status} -", [("Content-Length", str(len(data)))])
-        return [data]
+            # A refusal would promise that the start has no effect.
+            raise _NoReplyError
+        if path == "/-/hold":
+            return self._handle_hold(body, life)
+        with self._observer.lock:
+            self._check_life(life)
+            return self._handle_order(path, body)
 
-    def _start_delayed(self, body: dict[str, Any], born: int) -> None:
+    def _start_delayed(self, body: dict[str, Any], life: int) -> None:
         with self._observer.lock:
-            if self.born == born:
+            if self._life == life:
                 self._handle_order("/-/run-start", body)
 
     def _handle_order(
@@ -211,12 +348,17 @@
         started = TaskStart(self.name, task, run, body["spec"])
         self._observer.record_start(self, started)
         seconds, cpu = _read_spec(body["spec"])
-        self.running[task] = _Run(run, time.monotonic() + seconds, cpu)
+        now = time.monotonic()
+        self.running[task] = _Run(run, now, now + seconds, cpu)
+        self._observer.note(f"{self.name} starts {task}/{run} at clock {clock}")
         return 200, {"clock_ms": clock}
 
-    def _handle_hold(self, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _handle_hold(
+        self, body: dict[str, Any], life: int
+    ) -> tuple[int, dict[str, Any]]:
         wait_until = time.monotonic() + body.get("wait_ms", 0) / 1000
         with self._observer.lock:
+            self._check_life(life)
             if body["fencing_token"] < self.token:
                 return 409, {"clock_ms": self._read_clock(), "reason": "fence"}
             self.token = body["fencing_token"]
@@ -224,6 +366,7 @@
             self._acknowledge(body["last_seen"])
         while True:
             with self._observer.lock:
+                self._check_life(life)
                 self.expire()
                 if self._ended or time.monotonic() >= wait_until:
                     return 200, self._build_status()
@@ -262,6 +405,7 @@
         run = self.running.pop(task)
         self._end_count += 1
         self._ended.append([self._end_count, task, run.run, outcome, ""])
+        self._observer.note(f"{self.name} ends {task}/{run.run}: {outcome}")
 
 
 def _read_spec(spec: str) -> tuple[float, int]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 import tempfile
 from pathlib import Path
 
+from bench.addresses import find_address
 from bench.soak.__main__ import run_soak
 from bench.standins.platform_runner import Observer, PlatformRunner, TaskStart
 from tests.cases import AsyncTestCase
@@ -32,7 +33,23 @@
         """Guards against a soak that misses two concurrent runs of a task."""
         self._start(self.runners[0], "j.0.0.0")
         self._start(self.runners[1], "j.0.0.0", run=2)
-        self.assertEqual(self.observer.problems, ["j.0.0.0 runs twice"])
+        first, second = self.runners
+        (problem,) = self.observer.problems
+        self.assertRegex(
+            problem,
+            rf"^j\.0\.0\.0 runs twice: r1 \(born {second.born}\) starts run 2 at "
+            rf"[-T:.+0-9]+, 0\.\d{{3}} s after r0 \(born {first.born}\) started run 1$",
+        )
+
+    def test_a_run_of_a_life_that_is_over_is_not_reported(self):
+        """Guards against alarms for a task whose first runner has crashed."""
+        self.runners[0].address = find_address()
+        self.runners[0].begin_life()
+        self._start(self.runners[0], "j.0.0.0")
+        self.runners[0].restart()
+        self.addCleanup(self.runners[0].stop)
+        self._start(self.runners[1], "j.0.0.0", run=2)
+        self.assertEqual(self.observer.problems, [])
 
     def test_exceeded_capacity_is_reported(self):
         """Guards against a soak that misses a runner over its capacity."""
