--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -76,6 +76,7 @@
         self._faults: list[Callable[[], None]] = self._rng.choice(
             [process_faults, host_faults, process_faults + host_faults]
         )
+        self.has_host_faults = self._faults is not process_faults
 
     def run(self, seconds: float) -> None:
         """Inject faults for a number of seconds."""
