Let a runner fall silent right after the first poll of a new agent process

The time in which the new process knows no lease lasts some 250 ms, and a silence at a random time seldom meets it.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -176,11 +176,7 @@
 
     def _silence_runner(self) -> None:
         runner, _ = self._choose_host()
-        self._silence(runner, self._rng.uniform(*OUTAGE_SECONDS))
-
-    def _silence(self, runner: PlatformRunner, seconds: float) -> None:
-        self._note(f"{runner.name} is silent for {seconds:.2f} s")
-        runner.silent_until = time.monotonic() + seconds
+        runner.be_silent(self._rng.uniform(*OUTAGE_SECONDS))
 
     def _delay_starts(self) -> None:
         runner = self._rng.choice(self._cluster.runners)
@@ -201,7 +197,7 @@
                 self._schedule_at(at, runner.end_life)
                 self._schedule_at(at + down, runner.begin_life)
             else:
-                self._schedule_at(at, partial(self._silence, runner, down))
+                self._schedule_at(at, partial(runner.be_silent, down))
                 self._schedule_at(at + down, runner.restart)
             at += down + self._rng.uniform(*LIFE_SECONDS)
 
@@ -218,7 +214,7 @@
         if late and self._rng.random() < 0.5:
             start = seconds + max(down, delay)
             silence = self._rng.uniform(*SILENCE_SECONDS)
-            self._schedule_at(start + 0.5, partial(self._silence, runner, silence))
+            self._schedule_at(start + 0.5, partial(runner.be_silent, silence))
 
     def _kill_agent(self, agent: Daemon) -> None:
         self._note(f"{agent.name} is killed")
@@ -229,7 +225,10 @@
         runner, agent = self._choose_host()
         self._kill_agent(agent)
         seconds = self._rng.uniform(*SILENCE_SECONDS)
-        self._schedule(SILENCE_START_SECONDS, partial(self._silence, runner, seconds))
+        if self._rng.random() < 0.5:
+            runner.takeover_silence = seconds
+            return
+        self._schedule(SILENCE_START_SECONDS, partial(runner.be_silent, seconds))
 
     def _freeze_agent(self, daemon: Daemon) -> None:
         self._note(f"{daemon.name} is stopped")
--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -30,6 +30,9 @@
 # Times that a runner sends its unregistration without getting a reply.
 MAX_UNREGISTER_ATTEMPTS = 3
 BIND_TIMEOUT_SECONDS = 10.0
+# An agent raises its token by one, or by seconds of its clock when it starts.
+MIN_TAKEOVER_TOKEN_STEP = 100
+TAKEOVER_SILENCE_DELAY_SECONDS = (0.03, 0.3)
 CONNECTION_KEY = "egretcrank.connection"
 _EMPTY_REPLY: dict[str, Any] = {}
 
@@ -124,6 +127,8 @@
     def _reset(self) -> None:
         self._life += 1
         self.silent_until = 0.0
+        # Seconds to be silent for after the first poll of the next agent process.
+        self.takeover_silence = 0.0
         self._draining_until: float | None = None
         self.born = int(time.time() * 1000)
         self._started_at = time.monotonic()
@@ -362,6 +367,8 @@
             self._check_life(life)
             if body["fencing_token"] < self.token:
                 return 409, {"clock_ms": self._read_clock(), "reason": "fence"}
+            if body["fencing_token"] - self.token > MIN_TAKEOVER_TOKEN_STEP:
+                self._handle_takeover()
             self.token = body["fencing_token"]
             self._extend_lease(body.get("deadline_ms", 0), self._read_clock())
             self._acknowledge(body["last_seen"])
@@ -373,6 +380,17 @@
                     return 200, self._build_status()
             time.sleep(POLL_SECONDS)
 
+    def _handle_takeover(self) -> None:
+        seconds, self.takeover_silence = self.takeover_silence, 0.0
+        if seconds:
+            delay = self._random.uniform(*TAKEOVER_SILENCE_DELAY_SECONDS)
+            threading.Timer(delay, self.be_silent, (seconds,)).start()
+
+    def be_silent(self, seconds: float) -> None:
+        """Answer no call and send no heartbeat for some seconds."""
+        self._observer.note(f"{self.name} is silent for {seconds:.2f} s")
+        self.silent_until = time.monotonic() + seconds
+
     def _acknowledge(self, last: int) -> None:
         for number, task, _, outcome, _ in self._ended:
             if number <= last and outcome == "done":
