--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -222,7 +222,9 @@
         self._schedule(AGENT_DOWN_SECONDS, agent.start)
 
     def _kill_agent_of_silent_runner(self) -> None:
-        runner, agent = self._choose_host()
+        # Its runs have to outlast the start of the agent and a second of silence.
+        runner = max(self._cluster.runners, key=PlatformRunner.find_last_end)
+        agent = self._cluster.agents[self._cluster.runners.index(runner)]
         self._kill_agent(agent)
         seconds = self._rng.uniform(*SILENCE_SECONDS)
         if self._rng.random() < 0.5:
--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -386,6 +386,11 @@
             delay = self._random.uniform(*TAKEOVER_SILENCE_DELAY_SECONDS)
             threading.Timer(delay, self.be_silent, (seconds,)).start()
 
+    def find_last_end(self) -> float:
+        """Return the time at which all current runs will have ended."""
+        with self._observer.lock:
+            return max((run.ends_at for run in self.running.values()), default=0.0)
+
     def be_silent(self, seconds: float) -> None:
         """Answer no call and send no heartbeat for some seconds."""
         self._observer.note(f"{self.name} is silent for {seconds:.2f} s")
