--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -32,7 +32,8 @@
 BIND_TIMEOUT_SECONDS = 10.0
 # An agent raises its token by one, or by seconds of its clock when it starts.
 MIN_TAKEOVER_TOKEN_STEP = 100
-TAKEOVER_SILENCE_DELAY_SECONDS = (0.03, 0.3)
+# Time in which the new process gets a heartbeat, but grants no lease yet.
+TAKEOVER_SILENCE_DELAY_SECONDS = (0.1, 0.4)
 CONNECTION_KEY = "egretcrank.connection"
 _EMPTY_REPLY: dict[str, Any] = {}
 
