--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -188,6 +188,8 @@
         """Let a runner go down and up by turns under the same id."""
         runner, _ = self._choose_host()
         self._schedule_lives(runner, 0.0)
+        if self._rng.random() < 0.5:
+            self._delay_replies(runner, LATE_REPLIES)
 
     def _schedule_lives(self, runner: PlatformRunner, first: float) -> None:
         at = first
