--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -297,7 +297,6 @@
                 "session": max(host.session, reported) + 1,
             },
         )
-        host.address = report.address
         host.offer_session(report.incarnation, max(host.session, reported) + 1)
         host.reply_due = True
 
--- a/tests/test_host_sessions.py
+++ b/tests/test_host_sessions.py
@@ -3,6 +3,7 @@
 from datetime import timedelta
 from unittest.mock import patch
 
+from egretcrank.agent.state import AgentState, Identity
 from egretcrank.scheduling.cell import SILENT_HOST_RETENTION
 from egretcrank.scheduling.records import Phase
 from egretcrank.wire.hosting import HostOrders, HostReport, Run
@@ -242,6 +243,16 @@
         self.assertEqual(world.violations, [])
         self.assertIn("h0", world.table.hosts)
 
+    def test_a_host_at_another_address_is_registered_again(self):
+        """Guards against announcements to an address that the host has left."""
+        world = World(42)
+        world.run(1)
+        world.start_agent(world.runners[0])
+        identity = Identity("h0", "h0:2", "i9")
+        world.agents["h0"].state = AgentState(identity)
+        world.run(1)
+        self.assertEqual(world.table.hosts["h0"].address, "h0:2")
+
     def test_a_runner_that_left_does_not_unregister_a_host_whose_runs_are_unknown(self):
         """Guards against a second run by a leader that does not wait for the host.
 
