Unregister a host whose runner left only after its runs are known

Cause: the first full report to a new leader was read for the registration before its runs were adopted, so that a late unregistration removed a host with runs from the log. A leader elected before the next report did not wait for the host. Change: the registration follows the runs. A test of an older report of the current session is added; it passed before.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -251,7 +251,6 @@
         host.runner_left = report.leaving
         host.runner_silent = report.silent
         host.profiles_due = report.unprofiled > 0
-        self._update_registration(host, report)
         host.outbox.confirm(report.applied, now)
         self._update_runner(host, report)
         for refused in report.refused:
@@ -293,6 +292,7 @@
                 "incarnation_before": host.incarnation,
                 "incarnation": report.incarnation,
                 "report": report.sequence,
+        self._update_registration(host, report)
                 "report_epoch": report.epoch,
                 "session": max(host.session, reported) + 1,
             },
--- a/tests/test_host_sessions.py
+++ b/tests/test_host_sessions.py
@@ -126,6 +126,20 @@
         self.assertLess(delayed.epoch, agent.state.epoch)
         self.check_an_order_in_flight(world, delayed)
 
+    def test_an_older_report_of_the_current_session_releases_nothing(self):
+        """Guards against a second run if reports of one session change their order."""
+        world = World(38)
+        world.run(2)
+        delayed = build_full_report(world, "h0")
+        world.run(0.3)
+        world.submit(build_step(long_running=True, width=3))
+        world.run(1)
+        self.assertEqual([len(r.running) for r in world.runners], [1, 1, 1])
+        deliver(world.leader, delayed)
+        world.run(3)
+        self.assertEqual(world.violations, [])
+        self.assertEqual(len(world.starts), 3)
+
     def check_an_order_in_flight(self, world: World, delayed: HostReport) -> None:
         use_only(world, "h0")
         with hold_messages(world, "h0") as held:
@@ -243,6 +257,30 @@
         self.assertEqual(world.violations, [])
         self.assertIn("h0", world.table.hosts)
 
+    def test_the_first_report_of_a_runner_that_left_unregisters_no_host_with_runs(self):
+        """Guards against a second run by a leader that does not wait for the host.
+
+        The unregistration was a late one. The next leader is elected before another
+        report registers the host again.
+        """
+        world = World(41)
+        world.submit(build_step(long_running=True, width=3))
+        world.run(2)
+        world.leader.fenced = True
+        world.elect()
+        second = world.leader
+        assert second.cell is not None
+        world.agents["h0"].state.mark_runner_left("h0")
+        while not second.cell.hosts["h0"].attached:
+            world.step()
+        second.commit()
+        self.assertIn("h0", world.table.hosts)
+        world.elect()
+        world.attached["h0"] = second
+        second.fenced = True
+        world.run(1)
+        self.assertEqual(world.violations, [])
+
     def test_a_host_at_another_address_is_registered_again(self):
         """Guards against announcements to an address that the host has left."""
         world = World(42)
