Adopt runs and ends of occurrences that are not due by this leader's clock

Cause: the time of day of a leader may be behind that of its predecessor. A repetition that the former had started was unknown to it; the end was acknowledged and forgotten, a run was stopped as unwanted, and the occurrence ran again when it was due. Change: a report of an occurrence that the job has adds it, up to a minute ahead.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -15,7 +15,7 @@
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.changes import ChangeCollector, Changes
-from egretcrank.scheduling.definitions import parse_task_key
+from egretcrank.scheduling.definitions import TaskKey, parse_task_key
 from egretcrank.scheduling.hosts import (
     HostState,
     UnwantedRun,
@@ -55,6 +55,8 @@
 # number: with names of 8 characters, the record takes 40 KB.
 PRESSURE_STORE_INTERVAL = timedelta(seconds=5)
 MAX_STORED_PRESSURES = 1000
+# Longest time by which the clock of a former leader may have been ahead.
+MAX_CLOCK_LEAD = timedelta(minutes=1)
 # No task is started on a lease that expires sooner than this.
 MIN_AUTHORITY = timedelta(seconds=1)
 
@@ -203,6 +205,24 @@
                 job.add_occurrence(number)
             number += 1
 
+    def _find_reported_step(self, key: TaskKey | None) -> StepState | None:
+        """Return the step of a task that a host reports, if the job has that task.
+
+        A former leader whose clock was ahead may have started an occurrence that is
+        not due yet.
+        """
+        job = self.jobs.get(key.job_id) if key else None
+        if key is None or job is None:
+            return None
+        if (
+            not job.phase.final
+            and key.occurrence < job.occurrence_count
+            and job.due_at(key.occurrence) <= self._clock.now() + MAX_CLOCK_LEAD
+        ):
+            for number in range(len(job.occurrences), key.occurrence + 1):
+                job.add_occurrence(number)
+        return job.find_step(key)
+
     def _find_queue(self, job: Job) -> Queue:
         return self.catalog.queues.get(job.queue.name, job.queue)
 
@@ -272,6 +292,7 @@
                     },
                 )
                 self._check_takeover()
+        self._update_registration(host, report)
 
     def _offer_session(self, host: HostState, report: HostReport) -> None:
         """Offer a session to the agent process that reports outside of the current one.
@@ -292,7 +313,6 @@
                 "incarnation_before": host.incarnation,
                 "incarnation": report.incarnation,
                 "report": report.sequence,
-        self._update_registration(host, report)
                 "report_epoch": report.epoch,
                 "session": max(host.session, reported) + 1,
             },
@@ -369,11 +389,11 @@
 
     def _reconcile_run(self, host: HostState, running: RunningTask) -> None:
         key = parse_task_key(running.task)
-        job = self.jobs.get(key.job_id) if key else None
-        step = job.find_step(key) if job and key else None
-        if key is None or job is None or step is None:
+        step = self._find_reported_step(key)
+        if key is None or step is None:
             self._stop_unwanted_run(host, running)
             return
+        job = step.job
         task = step.tasks[key.position]
         placement = self._runs.find(key)
         if placement is None:
@@ -433,10 +453,10 @@
         host.ends_seen = ended.number
         host.unwanted_runs.discard(UnwantedRun(ended.task, ended.run))
         key = parse_task_key(ended.task)
-        job = self.jobs.get(key.job_id) if key else None
-        step = job.find_step(key) if job and key else None
-        if key is None or job is None or step is None:
+        step = self._find_reported_step(key)
+        if key is None or step is None:
             return
+        job = step.job
         placement = self._runs.find(key)
         is_current = (
             placement is not None
--- a/tests/test_host_sessions.py
+++ b/tests/test_host_sessions.py
@@ -412,3 +412,48 @@
             world.run(2)
         self.assertEqual(world.violations, [])
         self.assertEqual(world.find_phase(job), Phase.RUNNING)
+
+
+class RepetitionTests(AsyncTestCase):
+    """Repetitions that a leader with a later time of day has started."""
+
+    def start_second_occurrence(self, world: World) -> str:
+        """Run a job until its second occurrence starts; return the host of that."""
+        world.submit(
+            build_step(width=1),
+            repetitions=2,
+            first_run=world.clock.now() + timedelta(seconds=1),
+            interval=timedelta(seconds=5),
+        )
+        while len(world.starts) < 2:
+            world.step()
+        world.leader.fenced = True
+        return world.starts[-1][2]
+
+    def test_an_end_of_an_occurrence_that_is_not_due_yet_is_kept(self):
+        """Guards against repeating an occurrence whose end was acknowledged."""
+        world = World(80, hosts=2)
+        self.start_second_occurrence(world)
+        now = world.clock.now
+        with patch.object(world.clock, "now", lambda: now() - timedelta(seconds=5)):
+            world.elect()
+            with hold_messages(world, "h0"), hold_messages(world, "h1"):
+                world.run(3)
+            world.run(9)
+        self.assertEqual(world.violations, [])
+        self.assertEqual(len(world.starts), 2)
+
+    def test_a_run_of_an_occurrence_that_is_not_due_yet_is_adopted(self):
+        """Guards against two runs of an occurrence around a change of leader."""
+        world = World(80, hosts=2)
+        host = self.start_second_occurrence(world)
+        runner = next(runner for runner in world.runners if runner.name == host)
+        for task, active in runner.running.items():
+            ends_at = world.now() + timedelta(seconds=8)
+            runner.running[task] = active._replace(ends_at=ends_at)
+        now = world.clock.now
+        with patch.object(world.clock, "now", lambda: now() - timedelta(seconds=2)):
+            world.elect()
+            world.run(12)
+        self.assertEqual(world.violations, [])
+        self.assertEqual(len(world.starts), 2)
