--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -192,7 +192,7 @@
             # The runs that are not listed may be among the ends that are left out.
             listed = {**self._running, **listed}
         self._running = listed
-        self._stopping &= set(listed)
+        self._stopping &= {*listed, *self._starting, *self._started}
         return self._add_ends(snapshot) or changed
 
     def _add_ends(self, snapshot: RunnerSnapshot) -> bool:
