Use a restarted runner whose time of day went back

Cause: the list of the new process was applied, its heartbeats were ignored as older ones, and its host never reported in full again. Change: heartbeats of the process that replied last hold.

--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -132,7 +132,10 @@
         if runner.born < self.born:
             return False
         known = self.runner
-        if known is not None:
+        # If the time of day went back, a restarted runner is born before the former
+        # one. Polls are ordered, so the process that replied last is the current one.
+        is_replaced = known is not None and known.born != self.born == runner.born
+        if known is not None and not is_replaced:
             if (runner.born, sequence) <= (known.born, self._heartbeat_sequence):
                 return False
             if self.runner_left and runner.born == known.born:
