Assume nothing of a runner after a poll that it did not answer

Cause: the next process of a restarted runner took calls that were meant for the former one. The number of the last end made it forget its own ends; a lease's end, on the former clock, gave it a full lease, which could outlast the leader's bound; and a refused poll of the former process discarded starts that the next had confirmed. Change: after an unanswered poll, nothing is acknowledged and no lease is given until a list arrives; runs whose lease may outlast the authority are stopped a second before its end; a refused poll leaves starts alone that were confirmed after it was sent.

--- a/bench/placement/world.py
+++ b/bench/placement/world.py
@@ -80,7 +80,7 @@
         poll = self.state.begin_poll()
         snapshot = self.runner.poll(now, self.state.durable_ends)
         changed = self.state.apply_snapshot(snapshot, at, poll)
-        for run in self.state.list_pending_stops():
+        for run in self.state.list_pending_stops(at):
             self.runner.stop(run.task, run.run)
         for change in self.pace.adjust(
             self.state.running, self.state.profiles, self.state.raw_measurements, at
--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -196,7 +196,7 @@
         with self._lock:
             deadline = self._state.compute_lease_deadline(self._clock.boottime())
             token = self._token
-            acknowledged = self._state.durable_ends
+            acknowledged = self._state.acknowledged_ends
             poll = self._state.begin_poll()
         match self._runner.poll(deadline, token, acknowledged, wait):
             case Success(snapshot):
@@ -210,13 +210,16 @@
                     self._advance_token(token)
                 else:
                     self._log_reachability(problem.detail)
-                    self._expire_silent_runs(problem)
+                    self._handle_unanswered_poll(problem, poll)
         return False
 
-    def _expire_silent_runs(self, problem: Problem) -> None:
+    def _handle_unanswered_poll(self, problem: Problem, poll: int) -> None:
         refused = problem.kind is ErrorKind.CONNECTION_REFUSED
         with self._lock:
-            expired = self._state.expire_silent_runs(self._clock.boottime(), refused)
+            self._state.mark_unanswered()
+            expired = self._state.expire_silent_runs(
+                self._clock.boottime(), refused, poll
+            )
         if expired:
             self._report_due.set()
 
@@ -239,7 +242,7 @@
     def _apply_snapshot(self, snapshot: RunnerSnapshot, poll: int) -> None:
         with self._lock:
             changed = self._state.apply_snapshot(snapshot, self._clock.boottime(), poll)
-            stops = self._state.list_pending_stops()
+            stops = self._state.list_pending_stops(self._clock.boottime())
             paces = self._adjust_pace()
             token = self._token
         if changed:
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -44,6 +44,8 @@
 # here. They take at most 2 MB.
 MAX_CACHED_SPECS = 512
 DEFAULT_BOUNDS = BoundSettings()
+# Time before the end of the authority at which runs are stopped that may outlast it.
+STOP_MARGIN = timedelta(seconds=1)
 # Number of runs that one log line names.
 MAX_LOGGED_RUNS = 20
 
@@ -69,7 +71,8 @@
         self, identity: Identity, bounds: BoundSettings = DEFAULT_BOUNDS
     ) -> None:
         self._identity = identity
-        self._max_lease = bounds.lease
+        # Longest time for which a lease lasts on a slow clock.
+        self._lease_bound = bounds.lease / MIN_CLOCK_RATE_RATIO + KILL_MARGIN
         self.epoch = 0
         self.session = 0
         self.applied = 0
@@ -93,6 +96,12 @@
         self._clock_base: tuple[int, timedelta] | None = None
         # Last time at which a call may have extended the lease of the runner's runs.
         self._renewed_at = timedelta()
+        # Whether the last poll was answered. If not, another runner process may be
+        # next, to which neither the clock nor the numbers of ends apply.
+        self._is_answered = True
+        # Until when leases may outlast the authority, as a start that was meant for a
+        # former runner process was carried out by the next one.
+        self._excess_until = timedelta()
         # Number of polls sent so far, and that number at the last reply.
         self._polls_sent = 0
         self._polls_at_reply = 0
@@ -176,7 +185,10 @@
             # process, may have set a lease of any length.
             self._renewed_at = received_at
             changed = True
+            if self._started or self._starting:
+                self._excess_until = received_at + self._lease_bound
         self.has_snapshot = True
+        self._is_answered = True
         self._polls_at_reply = self._polls_sent
         self._clock_base = (snapshot.clock, received_at)
         changed = self._recheck_leaving(received_at) or changed
@@ -284,9 +296,10 @@
         Returns None without the leader's authority to renew leases. The time that is
         left is scaled down, as the runner's clock may run slow and reach a given
         reading later. The lease of a silent runner is not extended, so that the time
-        of its expiry is known; None is returned for it too.
+        of its expiry is known; None is returned for it too, and after a poll without a
+        reply.
         """
-        if self._clock_base is None or self.is_silent(now):
+        if self._clock_base is None or self.is_silent(now) or not self._is_answered:
             return None
         clock, read_at = self._clock_base
         left = (self.authority_until - read_at) * MIN_CLOCK_RATE_RATIO
@@ -311,14 +324,13 @@
             return True
         if self._clock_base is None or not self.is_silent(now):
             return False
-        max_lease = self._max_lease / MIN_CLOCK_RATE_RATIO
-        return now > self._renewed_at + max_lease + KILL_MARGIN
+        return now > self._renewed_at + self._lease_bound
 
-    def expire_silent_runs(self, now: timedelta, refused: bool) -> bool:
+    def expire_silent_runs(self, now: timedelta, refused: bool, poll: int) -> bool:
         """Discard the runs of an unresponsive runner once they have certainly ended.
 
-        ``refused`` tells that no process listens at the runner's address. Returns
-        whether there were any runs.
+        ``refused`` tells that no process listened at the runner's address when poll
+        number ``poll`` was sent. Returns whether there were any runs.
         """
         if not (self._running or self._started):
             return False
@@ -337,8 +349,9 @@
             },
         )
         self._running.clear()
-        self._started.clear()
-        self._stopping.clear()
+        # The next runner process may have carried out these.
+        self._started = {r: sent for r, sent in self._started.items() if sent >= poll}
+        self._stopping &= self._started.keys()
         self._request_full_report()
         return True
 
@@ -352,8 +365,22 @@
         """Whether the log does not hold all ended runs of the runner yet."""
         return bool(self._ended)
 
-    def list_pending_stops(self) -> list[Run]:
-        """Return the runs that were ordered to stop and are still running."""
+    @property
+    def acknowledged_ends(self) -> int:
+        """Number up to which the runner may discard ended runs."""
+        return self.durable_ends if self._is_answered else 0
+
+    def mark_unanswered(self) -> None:
+        """Record that a poll was not answered."""
+        self._is_answered = False
+
+    def list_pending_stops(self, now: timedelta) -> list[Run]:
+        """Return the runs that have to stop and are still running.
+
+        Without further authority, these are all runs whose lease may outlast it.
+        """
+        if self.authority_until - STOP_MARGIN <= now < self._excess_until:
+            return list(self._running)
         return [run for run in self._stopping if run in self._running]
 
     # Orders
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -258,14 +258,16 @@
     def send_poll(self) -> Poll | None:
         """Send a poll, whose reply a test may let arrive late."""
         state = self.state
+        number = state.begin_poll()
         if self.runner.silent or not self.runner.listening:
-            state.expire_silent_runs(self.world.now(), not self.runner.listening)
+            refused = not self.runner.listening
+            state.mark_unanswered()
+            state.expire_silent_runs(self.world.now(), refused, number)
             return None
-        number = state.begin_poll()
         snapshot = self.runner.poll(
             state.compute_lease_deadline(self.world.now()),
             self.token,
-            state.durable_ends,
+            state.acknowledged_ends,
         )
         if snapshot is None:
             self.token += 5000
@@ -276,7 +278,10 @@
 
     def receive(self, poll: Poll) -> None:
         """Receive the reply to a poll."""
-        self.state.apply_snapshot(poll.snapshot, self.world.now(), poll.number)
+        now = self.world.now()
+        self.state.apply_snapshot(poll.snapshot, now, poll.number)
+        for run in self.state.list_pending_stops(now):
+            self.runner.stop(run.task, run.run, self.token)
 
     def handle_orders(self, message: HostOrders) -> None:
         for order in self.state.accept_orders(message):
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -7,9 +7,10 @@
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.platform.calls import HttpClient
 from egretcrank.platform.runner import RunnerSnapshot
-from egretcrank.wire.hosting import EndedTask, Run
+from egretcrank.scheduling.records import Phase
+from egretcrank.wire.hosting import EndedTask, Run, StartOrder, TaskProfile
 from tests.cases import AsyncTestCase
-from tests.cell_world import TICK, World, build_step
+from tests.cell_world import TICK, World, build_step, hold_messages
 
 TIMEOUT = timedelta(milliseconds=300)
 
@@ -137,6 +138,118 @@
         self.assertEqual(sorted(counts), [1, 2])
 
 
+class NextRunnerTests(AsyncTestCase):
+    """Calls that the next process of a restarted runner carries out."""
+
+    def hold_a_start(self, world: World) -> StartOrder:
+        """Return a start that the agent of h0 has accepted and not carried out."""
+        for runner in world.runners[1:]:
+            runner.draining = True
+        world.run(0.5)
+        with hold_messages(world, "h0") as held:
+            world.submit(build_step(long_running=True, width=1))
+            world.run(0.3)
+        message = next(message for message in held if message.orders)
+        (order,) = world.agents["h0"].state.accept_orders(message)
+        for runner in world.runners[1:]:
+            runner.draining = False
+        assert order.start is not None
+        return order.start
+
+    def start_after_a_restart(self, world: World, start: StartOrder) -> None:
+        """Cut the host off, and restart its runner before the start."""
+        agent, runner = world.agents.pop("h0"), world.runners[0]
+        for _ in range(40):
+            agent.poll_runner()
+            world.step()
+        runner.restart()
+        world.clock.advance(TICK)
+        agent.start(start)
+        self.assertEqual(len(runner.running), 1)
+        for _ in range(60):
+            agent.poll_runner()
+            world.step()
+        self.assertEqual(world.violations, [])
+
+    def test_a_start_on_a_former_clock_does_not_outlast_the_authority(self):
+        """Guards against a second run after a lost host has started the first late."""
+        world = World(70)
+        world.run(3)
+        self.start_after_a_restart(world, self.hold_a_start(world))
+
+    def test_a_start_on_a_former_clock_does_not_outlast_a_takeover(self):
+        """Guards against a second run by a leader that waited for the lease."""
+        world = World(70)
+        world.run(3)
+        start = self.hold_a_start(world)
+        world.leader.fenced = True
+        world.elect()
+        self.start_after_a_restart(world, start)
+
+    def test_nothing_is_acknowledged_to_an_unknown_runner(self):
+        """Guards against ends that the next runner process forgets unrecorded."""
+        world = World(90, hosts=1)
+        job = world.submit(build_step(width=4))
+        world.run(15)
+        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+        agent, runner = world.agents["h0"], world.runners[0]
+        runner.restart()
+        agent.state.mark_unanswered()
+        agent.is_polling = False
+        task = f"{world.submit(build_step(width=1))}.0.0.0"
+        self.assertIsNone(agent.state.compute_lease_deadline(world.now()))
+        start = StartOrder(task, 1, "", "", "", TaskProfile(1000, False, "", 0.0))
+        self.assertEqual(runner.start(start, 5000, agent.token), "")
+        runner.end(task, "done")
+        agent.is_polling = True
+        world.run(5)
+        self.assertEqual(world.violations, [])
+
+    def test_a_start_after_a_refused_poll_is_not_discarded_with_it(self):
+        """Guards against a second run if a runner is back before the agent notes."""
+        world = World(91)
+        world.run(2)
+        state, run = world.agents["h0"].state, Run("j.0.0.0", 1)
+        state.mark_runner_left("h0")
+        poll = state.begin_poll()
+        state.mark_started(run, world.now())
+        state.expire_silent_runs(world.now(), refused=True, poll=poll)
+        later = world.now() + FULL_REPORT_INTERVAL
+        report = state.build_report(later, world.agents["h0"].pace)
+        self.assertIn(run.task, [running.task for running in report.running])
+
+    def test_a_stop_that_overtakes_its_start_is_carried_out(self):
+        """Guards against a cancelled task that goes on as its stop came too early."""
+        world = World(92, hosts=1)
+        world.run(2)
+        agent, runner = world.agents["h0"], world.runners[0]
+        job = world.submit(build_step(long_running=True, width=1))
+        with hold_messages(world, "h0") as held:
+            world.run(0.3)
+            world.cancel(job)
+            world.run(0.3)
+        orders = [m for m in held if m.orders]
+        (start,) = agent.state.accept_orders(orders[0])
+        agent.state.accept_orders(orders[-1])
+        agent.poll_runner()
+        assert start.start is not None
+        agent.start(start.start)
+        world.run(3)
+        self.assertEqual(runner.running, {})
+
+    def test_a_runner_whose_time_of_day_went_back_is_used_again(self):
+        """Guards against tasks that wait for a runner whose heartbeats are ignored."""
+        world = World(93)
+        for runner in world.runners:
+            runner.born = 1000
+        world.submit(build_step(long_running=True, width=3))
+        world.run(2)
+        world.runners[0].born = 500
+        world.runners[0].restart()
+        world.run(5)
+        self.assertEqual(sum(len(runner.running) for runner in world.runners), 3)
+
+
 class RefusedConnectionTests(AsyncTestCase):
     """What a failed connection tells about the process at the address."""
 
