Start no task of a repetition before it is due by this leader's clock

Cause: adds the whole occurrence that a host reports, and those before it; nothing but the absence of an occurrence kept its tasks from starting. The same held for occurrences that the record of a former leader brought. Change: the order of steps leaves out occurrences that are not due.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -205,22 +205,24 @@
                 job.add_occurrence(number)
             number += 1
 
-    def _find_reported_step(self, key: TaskKey | None) -> StepState | None:
+    def _adopt_reported_step(self, key: TaskKey | None) -> StepState | None:
         """Return the step of a task that a host reports, if the job has that task.
 
-        A former leader whose clock was ahead may have started an occurrence that is
-        not due yet.
+        Adds an occurrence that is not due yet: a former leader whose clock was ahead
+        may have started it.
         """
         job = self.jobs.get(key.job_id) if key else None
         if key is None or job is None:
             return None
         if (
             not job.phase.final
+            and key.occurrence not in job.occurrences
             and key.occurrence < job.occurrence_count
             and job.due_at(key.occurrence) <= self._clock.now() + MAX_CLOCK_LEAD
         ):
-            for number in range(len(job.occurrences), key.occurrence + 1):
-                job.add_occurrence(number)
+            for number in range(key.occurrence + 1):
+                if number not in job.occurrences:
+                    job.add_occurrence(number)
         return job.find_step(key)
 
     def _find_queue(self, job: Job) -> Queue:
@@ -389,7 +391,7 @@
 
     def _reconcile_run(self, host: HostState, running: RunningTask) -> None:
         key = parse_task_key(running.task)
-        step = self._find_reported_step(key)
+        step = self._adopt_reported_step(key)
         if key is None or step is None:
             self._stop_unwanted_run(host, running)
             return
@@ -453,7 +455,7 @@
         host.ends_seen = ended.number
         host.unwanted_runs.discard(UnwantedRun(ended.task, ended.run))
         key = parse_task_key(ended.task)
-        step = self._find_reported_step(key)
+        step = self._adopt_reported_step(key)
         if key is None or step is None:
             return
         job = step.job
--- a/src/egretcrank/scheduling/ordering.py
+++ b/src/egretcrank/scheduling/ordering.py
@@ -43,6 +43,9 @@
     for job in jobs:
         queue = find_queue(job)
         for number, steps in job.occurrences.items():
+            # A former leader whose clock was ahead may have begun it before.
+            if job.definition.repetitions and job.due_at(number) > now:
+                continue
             ready = [step for step in steps if _is_ready(step, steps)]
             if not ready:
                 continue
--- a/tests/test_host_sessions.py
+++ b/tests/test_host_sessions.py
@@ -1,12 +1,13 @@
 """Tests of what a leader concludes from reports and registrations of hosts."""
 
+from dataclasses import replace
 from datetime import timedelta
 from unittest.mock import patch
 
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.scheduling.cell import SILENT_HOST_RETENTION
 from egretcrank.scheduling.records import Phase
-from egretcrank.wire.hosting import HostOrders, HostReport, Run
+from egretcrank.wire.hosting import HostOrders, HostReport, Run, RunningTask
 from tests.cases import AsyncTestCase
 from tests.cell_world import (
     SETTINGS,
@@ -457,3 +458,25 @@
             world.run(12)
         self.assertEqual(world.violations, [])
         self.assertEqual(len(world.starts), 2)
+
+    def test_tasks_of_an_adopted_occurrence_wait_until_it_is_due(self):
+        """Guards against starting the other tasks of an occurrence too early."""
+        world = World(81, hosts=2)
+        first = world.clock.now() + timedelta(seconds=4)
+        job_id = world.submit(
+            build_step(width=3),
+            repetitions=2,
+            first_run=first,
+            interval=timedelta(seconds=4),
+        )
+        world.run(1)
+        report = build_full_report(world, "h0")
+        running = RunningTask(f"{job_id}.1.0.0", 1, "", 0, 0.0)
+        deliver(world.leader, replace(report, running=(running,)))
+        cell = world.leader.cell
+        assert cell is not None
+        self.assertEqual(set(cell.jobs[job_id].occurrences), {0, 1})
+        world.run(1.5)
+        self.assertEqual(world.starts, [])
+        world.run(10)
+        self.assertEqual(world.find_phase(job_id), Phase.COMPLETED)
