Hold on to what concurrent calls of an agent tell of its runner

Change: a mark is cleared by replies to later polls alone; the excess of a lease counts from the confirmation; stops stay while their start is in progress; the poll after a retry is not held. Each has a test.

--- a/bench/placement/world.py
+++ b/bench/placement/world.py
@@ -107,7 +107,9 @@
         step = submission.definition.steps[key.step]
         seconds = submission.seconds[key.step][key.position]
         self.runner.start(order, seconds, submission.phase, now, step.checkpointing)
-        self.state.mark_started(Run(order.task, order.run), timedelta(seconds=now))
+        self.state.mark_started(
+            Run(order.task, order.run), timedelta(seconds=now), self.state.born
+        )
 
 
 class Day:
--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -181,12 +181,17 @@
     def _run_looks(self) -> None:
         """Poll the runner continuously; the metrics count polls as ``look``."""
         wait = timedelta()
+        is_answered = True
         while not self._stopping.is_set():
             if not self._poll_runner(wait):
                 wait = timedelta()
+                is_answered = False
                 time.sleep(POLL_DELAY_AFTER_FAILURE.total_seconds())
                 continue
-            wait = MEASUREMENT_INTERVAL
+            # The reply to a retry allows to renew the lease, which must not wait for a
+            # poll that the runner holds.
+            wait = MEASUREMENT_INTERVAL if is_answered else timedelta()
+            is_answered = True
             with self._lock:
                 unacknowledged = self._state.has_unacknowledged_ends
             if unacknowledged:
@@ -216,7 +221,7 @@
     def _handle_unanswered_poll(self, problem: Problem, poll: int) -> None:
         refused = problem.kind is ErrorKind.CONNECTION_REFUSED
         with self._lock:
-            self._state.mark_unanswered()
+            self._state.mark_unanswered(poll)
             expired = self._state.expire_silent_runs(
                 self._clock.boottime(), refused, poll
             )
@@ -326,6 +331,7 @@
             with self._lock:
                 deadline = self._state.compute_lease_deadline(self._clock.boottime())
                 draining = self._state.runner is None or self._state.runner.draining
+                born = self._state.born
                 over = not self._state.is_current_session(session)
                 token = self._token
             if over or draining or deadline is None:
@@ -340,7 +346,7 @@
                 case Success(CommandResult(_, "")):
                     self._count_call("start", None)
                     with self._lock:
-                        self._state.mark_started(run, self._clock.boottime())
+                        self._state.mark_started(run, self._clock.boottime(), born)
                     logger.info("run started", extra={"task": run.task, "run": run.run})
                     return
                 case Success(CommandResult(_, "fence")):
@@ -357,7 +363,7 @@
                             "no reply to a start; polling for its outcome",
                             extra={"task": run.task, "detail": problem.detail},
                         )
-                        self._resolve_start(run)
+                        self._resolve_start(run, born)
                     return
 
     def _report_refusal(self, run: Run, reason: str) -> None:
@@ -369,14 +375,13 @@
         )
         self._report_due.set()
 
-    def _resolve_start(self, run: Run) -> None:
+    def _resolve_start(self, run: Run, born: int) -> None:
         """Determine whether an unanswered start took effect and prevent a later effect.
 
         A poll with a higher fencing token makes the runner reject the start from then
         on.
         """
         with self._lock:
-            born = self._state.born
             self._token += 1
             token = self._token
         while not self._stopping.is_set():
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -43,11 +43,11 @@
 # Jobs whose specification is cached: twice as many as a leader assumes to be cached
 # here. They take at most 2 MB.
 MAX_CACHED_SPECS = 512
-DEFAULT_BOUNDS = BoundSettings()
 # Time before the end of the authority at which runs are stopped that may outlast it.
 STOP_MARGIN = timedelta(seconds=1)
 # Number of runs that one log line names.
 MAX_LOGGED_RUNS = 20
+DEFAULT_BOUNDS = BoundSettings()
 
 logger = logging.getLogger(__name__)
 
@@ -96,9 +96,11 @@
         self._clock_base: tuple[int, timedelta] | None = None
         # Last time at which a call may have extended the lease of the runner's runs.
         self._renewed_at = timedelta()
-        # Whether the last poll was answered. If not, another runner process may be
-        # next, to which neither the clock nor the numbers of ends apply.
-        self._is_answered = True
+        # Number of the last poll without a reply, and whether none since then had one.
+        # Another runner process may be next, to which neither the clock nor the numbers
+        # of ends apply.
+        self._unanswered_poll = 0
+        self._last_poll_answered = True
         # Until when leases may outlast the authority, as a start that was meant for a
         # former runner process was carried out by the next one.
         self._excess_until = timedelta()
@@ -184,11 +186,11 @@
             # A former agent process, or a call that was meant for the former runner
             # process, may have set a lease of any length.
             self._renewed_at = received_at
-            changed = True
             if self._started or self._starting:
                 self._excess_until = received_at + self._lease_bound
+            changed = True
         self.has_snapshot = True
-        self._is_answered = True
+        self._last_poll_answered = poll > self._unanswered_poll
         self._polls_at_reply = self._polls_sent
         self._clock_base = (snapshot.clock, received_at)
         changed = self._recheck_leaving(received_at) or changed
@@ -285,7 +287,7 @@
         self.durable_ends = 0
         self._seen_ends = 0
         self._clock_base = None
-        self._stopping.clear()
+        self._stopping &= self._starting.keys()
         self._running.clear()
         self._ended.clear()
         self._request_full_report()
@@ -299,7 +301,9 @@
         of its expiry is known; None is returned for it too, and after a poll without a
         reply.
         """
-        if self._clock_base is None or self.is_silent(now) or not self._is_answered:
+        if self._clock_base is None or self.is_silent(now):
+            return None
+        if not self._last_poll_answered:
             return None
         clock, read_at = self._clock_base
         left = (self.authority_until - read_at) * MIN_CLOCK_RATE_RATIO
@@ -349,9 +353,9 @@
             },
         )
         self._running.clear()
-        # The next runner process may have carried out these.
+        # Starts that were confirmed after the poll are those of the next process.
         self._started = {r: sent for r, sent in self._started.items() if sent >= poll}
-        self._stopping &= self._started.keys()
+        self._stopping &= {*self._started, *self._starting}
         self._request_full_report()
         return True
 
@@ -368,16 +372,18 @@
     @property
     def acknowledged_ends(self) -> int:
         """Number up to which the runner may discard ended runs."""
-        return self.durable_ends if self._is_answered else 0
+        return self.durable_ends if self._last_poll_answered else 0
 
-    def mark_unanswered(self) -> None:
-        """Record that a poll was not answered."""
-        self._is_answered = False
+    def mark_unanswered(self, poll: int) -> None:
+        """Record that poll number ``poll`` was not answered."""
+        self._unanswered_poll = max(self._unanswered_poll, poll)
+        self._last_poll_answered = False
 
     def list_pending_stops(self, now: timedelta) -> list[Run]:
         """Return the runs that have to stop and are still running.
 
-        Without further authority, these are all runs whose lease may outlast it.
+        Shortly before the authority ends, these are all runs if the runner's lease may
+        outlast it.
         """
         if self.authority_until - STOP_MARGIN <= now < self._excess_until:
             return list(self._running)
@@ -440,14 +446,16 @@
         while len(self._specs) > MAX_CACHED_SPECS:
             self._specs.popitem(last=False)
 
-    def mark_started(self, run: Run, confirmed_at: timedelta) -> None:
+    def mark_started(self, run: Run, confirmed_at: timedelta, born: int) -> None:
         """Record a run that the runner has started.
 
-        The start may have been carried out by another runner process than the one it
-        was meant for, whose clock reaches the deadline of the start much later.
+        ``born`` identifies the runner process that the start was meant for. The next
+        one may have carried it out, whose clock reaches its deadline much later.
         """
         self._starting.pop(run, None)
         self._renewed_at = max(self._renewed_at, confirmed_at)
+        if born != self.born:
+            self._excess_until = confirmed_at + self._lease_bound
         if run not in self._running:
             self._started[run] = self._polls_sent
 
@@ -466,7 +474,7 @@
             (e.task, e.run) == run for e in snapshot.ended
         )
         if is_listed:
-            self.mark_started(run, received_at)
+            self.mark_started(run, received_at, born)
         elif ended:
             # Its end may be acknowledged already, and must not be followed by a report
             # that lists it as running.
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -261,7 +261,7 @@
         number = state.begin_poll()
         if self.runner.silent or not self.runner.listening:
             refused = not self.runner.listening
-            state.mark_unanswered()
+            state.mark_unanswered(number)
             state.expire_silent_runs(self.world.now(), refused, number)
             return None
         snapshot = self.runner.poll(
@@ -295,6 +295,7 @@
 
     def start(self, order: StartOrder) -> None:
         run = Run(order.task, order.run)
+        born = self.state.born
         deadline = self.state.compute_lease_deadline(self.world.now())
         unreachable = self.runner.silent or not self.runner.listening
         if deadline is None or unreachable:
@@ -305,15 +306,15 @@
                 self.runner, self.runner.born, order, deadline, self.token
             )
             self.world.late_starts.append(late_start)
-            self.resolve(run)
+            self.resolve(run, born)
             return
         refusal = self.runner.start(order, deadline, self.token)
         if refusal:
             self.state.mark_refused(run, refusal)
         else:
-            self.state.mark_started(run, self.world.now())
+            self.state.mark_started(run, self.world.now(), born)
 
-    def resolve(self, run: Run) -> None:
+    def resolve(self, run: Run, born: int) -> None:
         self.token += 1
         number = self.state.begin_poll()
         snapshot = self.runner.poll(None, self.token, 0)
@@ -323,7 +324,7 @@
         assert snapshot is not None
         self.state.apply_snapshot(snapshot, self.world.now(), number)
         if any((r.task, r.run) == run for r in snapshot.running):
-            self.state.mark_started(run, self.world.now())
+            self.state.mark_started(run, self.world.now(), born)
         else:
             self.state.mark_refused(run, "unanswered")
 
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -1,14 +1,24 @@
 """Tests of what counts as proof that a run has ended, at agents and at the leader."""
 
 import socket
+import threading
 from datetime import timedelta
+from unittest.mock import patch
 
-from egretcrank.agent.state import FULL_REPORT_INTERVAL
+from egretcrank.agent.daemon import Agent
+from egretcrank.agent.pace import MEASUREMENT_INTERVAL
+from egretcrank.agent.state import FULL_REPORT_INTERVAL, AgentState, Identity
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.platform.calls import HttpClient
 from egretcrank.platform.runner import RunnerSnapshot
 from egretcrank.scheduling.records import Phase
-from egretcrank.wire.hosting import EndedTask, Run, StartOrder, TaskProfile
+from egretcrank.wire.hosting import (
+    EndedTask,
+    Run,
+    RunningTask,
+    StartOrder,
+    TaskProfile,
+)
 from tests.cases import AsyncTestCase
 from tests.cell_world import TICK, World, build_step, hold_messages
 
@@ -194,7 +204,7 @@
         self.assertEqual(world.find_phase(job), Phase.COMPLETED)
         agent, runner = world.agents["h0"], world.runners[0]
         runner.restart()
-        agent.state.mark_unanswered()
+        agent.state.mark_unanswered(agent.state.begin_poll())
         agent.is_polling = False
         task = f"{world.submit(build_step(width=1))}.0.0.0"
         self.assertIsNone(agent.state.compute_lease_deadline(world.now()))
@@ -212,7 +222,7 @@
         state, run = world.agents["h0"].state, Run("j.0.0.0", 1)
         state.mark_runner_left("h0")
         poll = state.begin_poll()
-        state.mark_started(run, world.now())
+        state.mark_started(run, world.now(), state.born)
         state.expire_silent_runs(world.now(), refused=True, poll=poll)
         later = world.now() + FULL_REPORT_INTERVAL
         report = state.build_report(later, world.agents["h0"].pace)
@@ -250,6 +260,90 @@
         self.assertEqual(sum(len(runner.running) for runner in world.runners), 3)
 
 
+class ConcurrentCallTests(AsyncTestCase):
+    """Replies that an agent's threads handle in another order than they came."""
+
+    def setUp(self):
+        super().setUp()
+        self.state = AgentState(Identity("h", "h:1", "i"))
+        self.state.authority_until = timedelta(seconds=1006)
+        self.receive(1000, 1.0, 1, self.state.begin_poll())
+        self.state.durable_ends = 7
+        self.run_ = Run("j.0.0.0", 1)
+
+    def receive(self, clock: int, seconds: float, born: int, poll: int) -> None:
+        """Receive a list without runs at ``seconds`` after 999 s."""
+        reply = RunnerSnapshot(clock, born, (), ())
+        self.state.apply_snapshot(reply, timedelta(seconds=999 + seconds), poll)
+
+    def test_a_reply_to_an_earlier_poll_tells_nothing_after_a_refused_one(self):
+        """Guards against acknowledging ends of a former runner to the next one."""
+        earlier = self.state.begin_poll()
+        self.state.mark_unanswered(self.state.begin_poll())
+        self.receive(1100, 1.3, 1, earlier)
+        self.assertEqual(self.state.acknowledged_ends, 0)
+        now = timedelta(seconds=1000.3)
+        self.assertIsNone(self.state.compute_lease_deadline(now))
+        self.receive(1200, 1.4, 1, self.state.begin_poll())
+        self.assertEqual(self.state.acknowledged_ends, 7)
+
+    def test_a_start_on_a_former_clock_that_comes_late_outlasts_no_authority(self):
+        """Guards against a lease of a lost host that the leader does not know of."""
+        self.state._starting[self.run_] = 1
+        self.receive(5, 2.0, 2, self.state.begin_poll())
+        self.state.mark_started(self.run_, timedelta(seconds=1003.5), born=1)
+        self.state.authority_until = timedelta(seconds=1008.8)
+        listed = (RunningTask(*self.run_, "", 0, 0.0),)
+        reply = RunnerSnapshot(7900, 2, listed, ())
+        now = timedelta(seconds=1008)
+        self.state.apply_snapshot(reply, now, self.state.begin_poll())
+        self.assertEqual(self.state.list_pending_stops(now), [self.run_])
+
+    def test_a_stop_outlasts_a_restart_and_a_silence_of_the_runner(self):
+        """Guards against a cancelled task whose start was still on its way."""
+        self.state._starting[self.run_] = 1
+        self.state._stopping.add(self.run_)
+        self.state._running[Run("k.0.0.0", 1)] = RunningTask("k.0.0.0", 1, "", 0, 0.0)
+        poll = self.state.begin_poll()
+        later = timedelta(seconds=1008)
+        self.assertTrue(self.state.expire_silent_runs(later, refused=False, poll=poll))
+        self.receive(5, 9.1, 2, self.state.begin_poll())
+        self.state.mark_started(self.run_, timedelta(seconds=1008.2), born=2)
+        listed = (RunningTask(*self.run_, "", 0, 0.0),)
+        now = timedelta(seconds=1008.5)
+        reply = RunnerSnapshot(500, 2, listed, ())
+        self.state.apply_snapshot(reply, now, self.state.begin_poll())
+        self.assertEqual(self.state.list_pending_stops(now), [self.run_])
+
+
+class LookTests(AsyncTestCase):
+    """Order of the polls of an agent's runner."""
+
+    def test_the_lease_is_renewed_right_after_a_poll_that_was_not_answered(self):
+        """Guards against leases that lapse while every second poll fails.
+
+        The poll after a failed one carries no lease, and the next one may fail while
+        the runner holds it.
+        """
+        agent = Agent.__new__(Agent)
+        agent._lock = threading.RLock()
+        agent._stopping = threading.Event()
+        agent._state = AgentState(Identity("h", "h:1", "i"))
+        replies = [True, False, True, True, True]
+        waits: list[timedelta] = []
+
+        def poll(wait: timedelta) -> bool:
+            waits.append(wait)
+            if len(waits) == len(replies):
+                agent._stopping.set()
+            return replies[len(waits) - 1]
+
+        with patch.object(agent, "_poll_runner", poll):
+            agent._run_looks()
+        held, at_once = MEASUREMENT_INTERVAL, timedelta()
+        self.assertEqual(waits, [at_once, held, at_once, at_once, held])
+
+
 class RefusedConnectionTests(AsyncTestCase):
     """What a failed connection tells about the process at the address."""
 
