Do not count ends that the soak's runners acknowledge after a lapsed lease

Trace: its agent was killed at 21:22:36.9 and started again at 47.9 beside load; the run ended by 41.1, its lease lapsed at about 42.9, a new leader waited for the lease until 48.8 and ordered the task again at 48.98; the end was listed at 49.2, acknowledged, and the stop overtook the start at 49.48. The platform's rules except ends whose runner's lease lapsed before they were acknowledged; no leader can know of them. Change: the stand-in judges a run by its lease at the time of its end, and a poll no longer revives a lease that has lapsed; both make it stricter. Two tests show what counts.

--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -139,6 +139,9 @@
         self.running: dict[str, _Run] = {}
         self._highest_runs: dict[str, int] = {}
         self._ended: list[list[Any]] = []
+        # Numbers of ends that were not acknowledged before the lease lapsed. The
+        # platform's rules allow another run after these.
+        self._lapsed_ends: set[int] = set()
         self._end_count = 0
 
     def begin_life(self) -> None:
@@ -366,6 +369,7 @@
         wait_until = time.monotonic() + body.get("wait_ms", 0) / 1000
         with self._observer.lock:
             self._check_life(life)
+            self.expire()
             if body["fencing_token"] < self.token:
                 return 409, {"clock_ms": self._read_clock(), "reason": "fence"}
             if body["fencing_token"] - self.token > MIN_TAKEOVER_TOKEN_STEP:
@@ -399,7 +403,8 @@
 
     def _acknowledge(self, last: int) -> None:
         for number, task, _, outcome, _ in self._ended:
-            if number <= last and outcome == "done":
+            lapsed = number in self._lapsed_ends
+            if number <= last and outcome == "done" and not lapsed:
                 self._observer.acknowledged.add(task)
         self._ended = [end for end in self._ended if end[0] > last]
 
@@ -419,12 +424,14 @@
     def expire(self) -> None:
         """End finished and expired runs; the caller must hold the observer's lock."""
         now = time.monotonic()
+        lapses_at = self._started_at + self.deadline / 1000 / CLOCK_RATE
         for task, run in list(self.running.items()):
-            if run.ends_at <= now:
+            if run.ends_at <= min(now, lapses_at):
                 self._end_run(task, "done")
-        if self.running and self._read_clock() >= self.deadline:
-            for task in list(self.running):
+            elif lapses_at <= now:
                 self._end_run(task, "lapsed")
+        if lapses_at <= now:
+            self._lapsed_ends.update(number for number, *_ in self._ended)
 
     def _end_run(self, task: str, outcome: str) -> None:
         run = self.running.pop(task)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,28 @@
         self._start(self.runners[1], "j.0.0.0", run=2)
         self.assertEqual(self.observer.problems, [])
 
+    def _acknowledge_an_end(self, seconds):
+        """Acknowledge the end of a task ``seconds`` after it, and start it again."""
+        runner = self.runners[0]
+        self._start(runner, "j.0.0.0")
+        runner.running["j.0.0.0"] = runner.running["j.0.0.0"]._replace(ends_at=0.0)
+        runner.expire()
+        runner._started_at -= seconds
+        runner.expire()
+        runner._acknowledge(1)
+        self._start(self.runners[1], "j.0.0.0", run=2)
+        return self.observer.problems
+
+    def test_an_end_that_is_acknowledged_under_its_lease_counts(self):
+        """Guards against a soak that misses a rerun after an acknowledged end."""
+        self.assertEqual(
+            self._acknowledge_an_end(1.0), ["j.0.0.0 starts after it was done"]
+        )
+
+    def test_an_end_that_is_acknowledged_after_its_lease_lapsed_does_not_count(self):
+        """Guards against a check that is stricter than the rule of the platform."""
+        self.assertEqual(self._acknowledge_an_end(10.0), [])
+
     def test_exceeded_capacity_is_reported(self):
         """Guards against a soak that misses a runner over its capacity."""
         self._start(self.runners[0], "j.0.0.0")
