--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -328,26 +328,48 @@
             if message.epoch > epoch:
                 logger.info("attaching", extra={"epoch": message.epoch})
                 self._report_due.set()
+        accepted_at = self._clock.boottime()
+        session = (message.epoch, message.session)
         for order in orders:
-            self._pool.submit(
-                self._execute_order, order, (message.epoch, message.session)
-            )
+            if order.stop is not None:
+                logger.info("stop accepted", extra=order.stop._asdict())
+            self._pool.submit(self._execute_order, order, session, accepted_at)
         if orders:
             self._report_due.set()
 
-    def _execute_order(self, order: NumberedOrder, session: tuple[int, int]) -> None:
+    def _execute_order(
+        self,
+        order: NumberedOrder,
+        session: tuple[int, int],
+        accepted_at: timedelta | None = None,
+    ) -> None:
+        waited = self._clock.boottime() - (accepted_at or self._clock.boottime())
+        self._metrics.order_wait_seconds.add({}, waited.total_seconds())
         try:
             match order:
                 case NumberedOrder(start=StartOrder() as start):
-                    self._start(start, session)
+                    self._start(start, session, waited)
                 case NumberedOrder(stop=StopOrder(task, run)):
+                    logger.info(
+                        "stop sent",
+                        extra={
+                            "task": task,
+                            "run": run,
+                            "waited": waited.total_seconds(),
+                        },
+                    )
                     self._runner.stop(task, run, self._token)
         except Exception:
             logger.exception(
                 "executing an order failed", extra={"number": order.number}
             )
 
-    def _start(self, order: StartOrder, session: tuple[int, int]) -> None:
+    def _start(
+        self,
+        order: StartOrder,
+        session: tuple[int, int],
+        waited: timedelta = timedelta(),
+    ) -> None:
         run = Run(order.task, order.run)
         while True:
             with self._lock:
@@ -377,7 +399,15 @@
                     self._count_call("start", None)
                     with self._lock:
                         self._state.mark_started(run, self._clock.boottime(), born)
-                    logger.info("run started", extra={"task": run.task, "run": run.run})
+                    logger.info(
+                        "run started",
+                        extra={
+                            "task": run.task,
+                            "run": run.run,
+                            "waited": waited.total_seconds(),
+                            "answered_after": duration.total_seconds(),
+                        },
+                    )
                     return
                 case Success(CommandResult(_, "fence")):
                     self._advance_token(token)
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -142,6 +142,12 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self.order_wait_seconds = Histogram(
+            "egretcrank_order_wait_seconds",
+            "Time from an order's arrival at the agent until its turn.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
         self.runner_crashes = Counter(
             "egretcrank_runner_crashes_total",
             "Crashes of the runner by whether runs are suspects (yes or no).",
