Send no start that was withdrawn while it waited at the agent

An agent queued starts and stops for four threads. A start without an answer held a thread for seconds, and the stop of a waiting start stood behind it in the queue; nothing looked at the stop when the start's turn came. The poll thread sent lost stops and paces itself, 0.6 s each without an answer, and leases lapsed meanwhile.

Nothing is queued for a thread any more: a thread asks the state what to send when it can send it. A stop drops a start that waits, and the leader hears of it in the next report; a new session drops all that wait; a start that is sent again is checked again. Stops and paces have threads of their own. Of two paces of a run the newer one is sent, none of a run that has ended or has to stop; one without an answer is sent again, and a higher fencing token shuts out its late effect. The module of the daemon is split: execution, stops and tokens.

Ruled out: a start that the runner carries out late (answered within 22 ms, after 4.4 s of waiting), an order after the cancellation (run ordered and job ended of the leader), a cancellation that met no job.

--- a/bench/placement/world.py
+++ b/bench/placement/world.py
@@ -80,8 +80,7 @@
         poll = self.state.begin_poll()
         snapshot = self.runner.poll(now, self.state.durable_ends)
         changed = self.state.apply_snapshot(snapshot, at, poll)
-        for run in self.state.list_pending_stops(at):
-            self.runner.stop(run.task, run.run)
+        self._send_stops(at)
         for change in self.pace.adjust(
             self.state.running, self.state.profiles, self.state.raw_measurements, at
         ):
@@ -90,16 +89,20 @@
 
     def handle(self, message: HostOrders, now: float) -> None:
         """Apply a message of the leader."""
-        for order in self.state.accept_orders(message):
-            if order.start is not None:
-                self._start(order.start, now)
-            elif order.stop is not None:
-                self.runner.stop(order.stop.task, order.stop.run)
+        at = timedelta(seconds=now)
+        self.state.accept_orders(message, at)
+        self._send_stops(at)
+        while (waiting := self.state.take_start()) is not None:
+            self._start(waiting.order, now)
         self.pace.update_shared_estimates(message.pressures)
         self.state.confirm_report(message)
         if message.orders:
             self._next_report = now
 
+    def _send_stops(self, at: timedelta) -> None:
+        while (run := self.state.take_stop(at)) is not None:
+            self.runner.stop(run.task, run.run)
+
     def _start(self, order: StartOrder, now: float) -> None:
         key = parse_task_key(order.task)
         assert key is not None
--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -1,23 +1,23 @@
-"""Agent process: its threads, and the execution of orders on the runner."""
+"""Agent process: its threads, and its connections to the runner and the leader."""
 
 import logging
 import os
 import signal
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from uuid import uuid4
 
 from cheroot.wsgi import Server
 from returns.result import Failure, Success
 
+from egretcrank.agent.execution import POLL_DELAY_AFTER_FAILURE, OrderExecutor
 from egretcrank.agent.pace import MEASUREMENT_INTERVAL, PaceChange, PaceController
 from egretcrank.agent.state import AgentState, Identity
+from egretcrank.agent.tokens import FencingToken
 from egretcrank.clock import Clock, SystemClock
 from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.election import CONTROLLER_GROUP, SLOT_TOPICS
-from egretcrank.errors.answers import was_not_run
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.observability.exposition import serve_metrics
 from egretcrank.observability.logs import flush_logs
@@ -25,7 +25,6 @@
 from egretcrank.platform.heartbeats import Heartbeat, HeartbeatEndpoint
 from egretcrank.platform.runner import (
     POLL_MARGIN,
-    CommandResult,
     Runner,
     RunnerSnapshot,
 )
@@ -38,15 +37,10 @@
 )
 from egretcrank.transport.loops import start_loop
 from egretcrank.wire.hosting import (
-    NO_ROOM,
     AppendAnswer,
     HostOrders,
     LeaderMoved,
     LeaderStatus,
-    NumberedOrder,
-    Run,
-    StartOrder,
-    StopOrder,
     get_capacity,
     is_use_changed,
 )
@@ -56,18 +50,10 @@
 # leader again.
 LEADER_SILENCE_TIMEOUT = timedelta(milliseconds=1300)
 RECONNECT_INTERVAL = timedelta(milliseconds=700)
-POLL_DELAY_AFTER_FAILURE = timedelta(milliseconds=150)
 # A runner with unacknowledged ends answers polls at once, and acknowledging them takes
 # an append to the log. The delay avoids polling in a busy loop meanwhile.
 POLL_DELAY_AFTER_END = timedelta(milliseconds=100)
-# The starts of one batch of orders run concurrently, so that an unanswered one delays
-# few others.
-ORDER_THREADS = 4
 HEARTBEAT_THREADS = 2
-# Increase of the fencing token after the runner has refused it. The token starts as a
-# wall clock reading in milliseconds. The runner may know a higher one if the clock has
-# jumped back, and the step covers such jumps.
-TOKEN_STEP = 5000
 # The main thread handles signals between two waits of this length.
 SIGNAL_CHECK_INTERVAL = timedelta(milliseconds=200)
 
@@ -90,7 +76,7 @@
         )
         self._pace = PaceController()
         self._pace_adjusted_at = timedelta()
-        self._token = int(clock.now().timestamp() * 1000)
+        self._token = FencingToken(int(clock.now().timestamp() * 1000))
         self._runner_unreachable = False
         self._report_due = threading.Event()
         self._stopping = threading.Event()
@@ -100,7 +86,16 @@
         self._announcements = AnnouncementReceiver(
             settings.host.peer_address, self._handle_message
         )
-        self._pool = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="orders")
+        self._executor = OrderExecutor(
+            self._runner,
+            self._state,
+            self._lock,
+            clock,
+            self._metrics,
+            self._token,
+            self._apply_snapshot,
+            self._report_due.set,
+        )
         host, _, port = settings.runner.heartbeat_address.rpartition(":")
         self._heartbeats = Server(
             (host, int(port)),
@@ -128,6 +123,7 @@
             self._run_reports,
         ):
             start_loop(target.__qualname__, target)
+        self._executor.start_threads()
         serve_metrics(self._settings.host.metrics_address, self._render_metrics)
         logger.info("started")
         while not self._stopping.wait(SIGNAL_CHECK_INTERVAL.total_seconds()):
@@ -210,7 +206,7 @@
     def _poll_runner(self, wait: timedelta) -> bool:
         with self._lock:
             deadline = self._state.compute_lease_deadline(self._clock.boottime())
-            token = self._token
+            token = self._token.value
             acknowledged = self._state.acknowledged_ends
             poll = self._state.begin_poll()
             sent_at = self._clock.boottime()
@@ -223,7 +219,7 @@
             case Failure(problem):
                 self._count_call("look", problem)
                 if problem.kind is ErrorKind.STALE_EPOCH:
-                    self._advance_token(token)
+                    self._token.advance(token)
                 else:
                     self._log_reachability(problem.detail)
                     elapsed = self._clock.boottime() - sent_at
@@ -255,29 +251,18 @@
             extra={"detail": problem},
         )
 
-    def _advance_token(self, refused: int) -> None:
-        """Increase the fencing token, unless another thread already has."""
-        with self._lock:
-            if self._token == refused:
-                self._token = refused + TOKEN_STEP
-                logger.info("fencing token increased", extra={"token": self._token})
-
     def _apply_snapshot(self, snapshot: RunnerSnapshot, poll: int) -> None:
         with self._lock:
             changed = self._state.apply_snapshot(snapshot, self._clock.boottime(), poll)
-            stops = self._state.list_pending_stops(self._clock.boottime())
             paces = self._adjust_pace()
-            token = self._token
             crashes = self._state.take_crashes()
         for crash in crashes:
             suspects = "yes" if crash.suspects else "no"
             self._metrics.runner_crashes.inc({"suspects": suspects})
         if changed:
             self._report_due.set()
-        for run in stops:
-            self._runner.stop(run.task, run.run, token)
-        for change in paces:
-            self._runner.set_pace(change.task, change.run, change.percent, token)
+        self._executor.wake()
+        self._executor.set_paces(paces)
 
     def _adjust_pace(self) -> list[PaceChange]:
         now = self._clock.boottime()
@@ -320,7 +305,7 @@
     def _handle_orders(self, message: HostOrders) -> None:
         with self._lock:
             epoch = self._state.epoch
-            orders = self._state.accept_orders(message)
+            orders = self._state.accept_orders(message, self._clock.boottime())
             self._pace.update_shared_estimates(message.pressures)
             self._state.confirm_report(message)
             if message.epoch >= self._state.epoch:
@@ -328,170 +313,13 @@
             if message.epoch > epoch:
                 logger.info("attaching", extra={"epoch": message.epoch})
                 self._report_due.set()
-        accepted_at = self._clock.boottime()
-        session = (message.epoch, message.session)
         for order in orders:
             if order.stop is not None:
                 logger.info("stop accepted", extra=order.stop._asdict())
-            self._pool.submit(self._execute_order, order, session, accepted_at)
         if orders:
+            self._executor.wake()
             self._report_due.set()
 
-    def _execute_order(
-        self,
-        order: NumberedOrder,
-        session: tuple[int, int],
-        accepted_at: timedelta | None = None,
-    ) -> None:
-        waited = self._clock.boottime() - (accepted_at or self._clock.boottime())
-        self._metrics.order_wait_seconds.add({}, waited.total_seconds())
-        try:
-            match order:
-                case NumberedOrder(start=StartOrder() as start):
-                    self._start(start, session, waited)
-                case NumberedOrder(stop=StopOrder(task, run)):
-                    logger.info(
-                        "stop sent",
-                        extra={
-                            "task": task,
-                            "run": run,
-                            "waited": waited.total_seconds(),
-                        },
-                    )
-                    self._runner.stop(task, run, self._token)
-        except Exception:
-            logger.exception(
-                "executing an order failed", extra={"number": order.number}
-            )
-
-    def _start(
-        self,
-        order: StartOrder,
-        session: tuple[int, int],
-        waited: timedelta = timedelta(),
-    ) -> None:
-        run = Run(order.task, order.run)
-        while True:
-            with self._lock:
-                now = self._clock.boottime()
-                deadline = self._state.compute_lease_deadline(now)
-                draining = self._state.runner is None or self._state.runner.draining
-                born = self._state.born
-                over = not self._state.is_current_session(session)
-                token = self._token
-                usable = not (over or draining or deadline is None)
-                has_room = usable and self._state.reserve_start(run)
-                if has_room:
-                    self._state.mark_sent(run, now)
-            if over or draining or deadline is None:
-                reason = "draining" if draining else "no authority"
-                self._report_refusal(run, "session is over" if over else reason)
-                return
-            if not has_room:
-                self._report_refusal(run, NO_ROOM)
-                return
-            started_at = self._clock.boottime()
-            started = self._runner.start(order, deadline, token)
-            duration = self._clock.boottime() - started_at
-            self._metrics.runner_seconds.add({}, duration.total_seconds())
-            match started:
-                case Success(CommandResult(_, "")):
-                    self._count_call("start", None)
-                    with self._lock:
-                        self._state.mark_started(run, self._clock.boottime(), born)
-                    logger.info(
-                        "run started",
-                        extra={
-                            "task": run.task,
-                            "run": run.run,
-                            "waited": waited.total_seconds(),
-                            "answered_after": duration.total_seconds(),
-                        },
-                    )
-                    return
-                case Success(CommandResult(_, "fence")):
-                    self._advance_token(token)
-                case Success(CommandResult(_, refusal)):
-                    self._report_refusal(run, refusal)
-                    return
-                case Failure(problem):
-                    self._count_call("start", problem)
-                    may_have_run = not was_not_run(problem.kind)
-                    with self._lock:
-                        suspected = self._state.mark_start_unanswered(
-                            run, self._clock.boottime(), may_have_run
-                        )
-                    if suspected:
-                        self._report_due.set()
-                    if not may_have_run:
-                        self._report_refusal(run, "unreachable")
-                    else:
-                        logger.warning(
-                            "no reply to a start; polling for its outcome",
-                            extra={"task": run.task, "detail": problem.detail},
-                        )
-                        self._resolve_start(run, born)
-                    return
-
-    def _report_refusal(self, run: Run, reason: str) -> None:
-        with self._lock:
-            self._state.mark_refused(run, reason)
-        logger.info(
-            "start refused",
-            extra={"task": run.task, "run": run.run, "reason": reason},
-        )
-        self._report_due.set()
-
-    def _resolve_start(self, run: Run, born: int) -> None:
-        """Determine whether an unanswered start took effect and prevent a later effect.
-
-        A poll with a higher fencing token makes the runner reject the start from then
-        on.
-        """
-        with self._lock:
-            self._token += 1
-            token = self._token
-        while not self._stopping.is_set():
-            with self._lock:
-                poll = self._state.begin_poll()
-            match self._runner.poll(None, token, 0, timedelta()):
-                case Success(snapshot):
-                    self._apply_snapshot(snapshot, poll)
-                    if self._resolve_start_from(run, snapshot, born):
-                        return
-                case Failure(problem):
-                    with self._lock:
-                        now = self._clock.boottime()
-                        if problem.kind is ErrorKind.STALE_EPOCH:
-                            token = max(self._token, token + 1)
-                            self._token = token
-                        else:
-                            self._state.mark_failed(now)
-                        expired = self._state.have_leases_expired(
-                            now, problem.kind is ErrorKind.CONNECTION_REFUSED
-                        )
-                        if expired:
-                            self._state.suspect_silent_runs(now, poll)
-                    if expired:
-                        self._report_refusal(run, "runner is silent")
-                        return
-            time.sleep(POLL_DELAY_AFTER_FAILURE.total_seconds())
-
-    def _resolve_start_from(
-        self, run: Run, snapshot: RunnerSnapshot, born: int
-    ) -> bool:
-        """Return whether a reply tells the outcome of a start, and record it."""
-        with self._lock:
-            took_effect = self._state.resolve_start(
-                run, snapshot, born, self._clock.boottime()
-            )
-        if took_effect:
-            return True
-        if snapshot.has_more_ends:
-            return False
-        self._report_refusal(run, "unanswered")
-        return True
-
     # Reports
 
     def _run_reports(self) -> None:
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -3,16 +3,21 @@
 import logging
 import math
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
+from returns.result import Failure, Result, Success
+
 from egretcrank.agent.crashes import Crash, CrashWatch, format_runs
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.rooms import RoomLedger, fits
+from egretcrank.agent.stops import StopList
 from egretcrank.platform.runner import RunnerSnapshot
 from egretcrank.settings.platform import BoundSettings
 from egretcrank.wire.hosting import (
+    NO_ROOM,
+    WITHDRAWN,
     EndedTask,
     HostOrders,
     HostReport,
@@ -22,6 +27,7 @@
     Run,
     RunnerInfo,
     RunningTask,
+    StartOrder,
     TaskProfile,
     find_job,
 )
@@ -48,6 +54,8 @@
 # Time before the end of the authority at which runs are stopped that may outlast it.
 STOP_MARGIN = timedelta(seconds=1)
 DEFAULT_BOUNDS = BoundSettings()
+# Reason of a refusal of a start that was ordered in an earlier session.
+SESSION_OVER = "session is over"
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +68,29 @@
     incarnation: str
 
 
+class WaitingStart(NamedTuple):
+    """A start that was ordered in ``session`` and has not been sent yet."""
+
+    order: StartOrder
+    session: tuple[int, int]
+    accepted_at: timedelta
+
+    @property
+    def run(self) -> Run:
+        """Return the run that the order starts."""
+        return Run(self.order.task, self.order.run)
+
+
+class StartPermit(NamedTuple):
+    """Permission to send a start now.
+
+    ``deadline`` is the end of the lease on the clock of the runner process ``born``.
+    """
+
+    deadline: int
+    born: int
+
+
 class AgentState:
     """State of one agent. Not thread-safe: the daemon holds a lock around each call.
 
@@ -110,10 +141,12 @@
         # Starts in progress, with the numbers of their orders in the current session,
         # or 0 for orders of an earlier one.
         self._starting: dict[Run, int] = {}
+        # Those of them that have not been sent yet, in the order of their arrival.
+        self._waiting: OrderedDict[Run, WaitingStart] = OrderedDict()
         # Confirmed starts that no poll has listed yet, with the number of polls sent
         # until the confirmation. The reply to one of these may be older than the start.
         self._started: dict[Run, int] = {}
-        self._stopping: set[Run] = set()
+        self._stops = StopList()
         self._running: dict[Run, RunningTask] = {}
         self._ended: dict[int, EndedTask] = {}
         # Refusals, with the sequence number of the first report that carried each one.
@@ -220,7 +253,7 @@
             listed = {**self._running, **listed}
         self._running = listed
         in_progress = {*listed, *self._starting, *self._started}
-        self._stopping &= in_progress
+        self._stops.keep(in_progress)
         self._crash_watch.mark_replied(listed, in_progress, received_at)
         return self._add_ends(snapshot) or changed
 
@@ -318,7 +351,7 @@
         self.durable_ends = 0
         self._seen_ends = 0
         self._clock_base = None
-        self._stopping &= self._starting.keys()
+        self._stops.restart(self._starting.keys())
         self._running.clear()
         self._ended.clear()
         self._request_full_report()
@@ -387,7 +420,7 @@
         self._running.clear()
         # Starts that were confirmed after the poll are those of the next process.
         self._started = {r: sent for r, sent in self._started.items() if sent >= poll}
-        self._stopping &= {*self._started, *self._starting}
+        self._stops.keep({*self._started, *self._starting})
         self._request_full_report()
         return True
 
@@ -439,23 +472,40 @@
         """Record that a call to the runner has failed."""
         self._crash_watch.mark_failed(now)
 
-    def list_pending_stops(self, now: timedelta) -> list[Run]:
-        """Return the runs that have to stop and are still running.
+    # Stops
+
+    def take_stop(self, now: timedelta) -> Run | None:
+        """Return a run for which a stop is due, and record that it is sent now."""
+        return self._stops.take(self._list_unleased(now), now)
+
+    def count_due_stops(self, now: timedelta) -> int:
+        """Return the number of stops to send now."""
+        return self._stops.count_due(self._list_unleased(now), now)
+
+    def mark_stop_failed(self, run: Run) -> None:
+        """Record that the last stop of a run had no effect, so that one is due."""
+        self._stops.mark_failed(run)
+
+    def _list_unleased(self, now: timedelta) -> Iterable[Run]:
+        """Return the runs that have to stop as their lease may outlast the authority.
 
-        Shortly before the authority ends, these are all runs if the runner's lease may
-        outlast it. A restarted agent does not know of any authority until it attaches.
+        These are all runs, shortly before the authority ends. A restarted agent does
+        not know of any authority until it attaches.
         """
         ends_soon = self.authority_until - STOP_MARGIN <= now
         if self.authority_until and ends_soon and now < self._excess_until:
-            return list(self._running)
-        return [run for run in self._stopping if run in self._running]
+            return self._running.keys()
+        return ()
 
     # Orders
 
-    def accept_orders(self, message: HostOrders) -> list[NumberedOrder]:
+    def accept_orders(
+        self, message: HostOrders, received_at: timedelta = timedelta()
+    ) -> list[NumberedOrder]:
         """Apply a message of the leader and return its new orders.
 
-        Each order is returned exactly once.
+        Each order is returned exactly once. Its start is due for ``take_start``, or its
+        stop for ``take_stop``.
         """
         session = (message.epoch, message.session)
         if session < (self.epoch, self.session) or (
@@ -469,6 +519,8 @@
             self._request_full_report()
             self._refused.clear()
             self._starting = dict.fromkeys(self._starting, 0)
+            for run in list(self._waiting):
+                self.mark_refused(run, SESSION_OVER)
         sent_at = timedelta(seconds=message.report_sent_at)
         authority = sent_at + timedelta(seconds=message.authority_seconds)
         if message.authority_seconds > 0:
@@ -495,14 +547,23 @@
                     break
                 start = order.start._replace(spec=spec)
                 order = order._replace(start=start)
-                self._starting[Run(start.task, start.run)] = order.number
+                waiting = WaitingStart(start, session, received_at)
+                self._starting[waiting.run] = order.number
+                self._waiting[waiting.run] = waiting
                 self.profiles[start.task] = start.profile
             if order.stop is not None:
-                self._stopping.add(Run(order.stop.task, order.stop.run))
+                self._withdraw(Run(order.stop.task, order.stop.run))
             self.applied = order.number
             new.append(order)
         return new
 
+    def _withdraw(self, run: Run) -> None:
+        """Stop a run, or drop its start if that has not been sent yet."""
+        if run in self._waiting:
+            self.mark_refused(run, WITHDRAWN)
+            return
+        self._stops.add(run)
+
     def _cache_specs(self, specs: Mapping[str, str]) -> None:
         for job, spec in specs.items():
             self._specs[job] = spec
@@ -510,6 +571,40 @@
         while len(self._specs) > MAX_CACHED_SPECS:
             self._specs.popitem(last=False)
 
+    @property
+    def waiting_starts(self) -> int:
+        """Number of starts that wait for ``take_start``."""
+        return len(self._waiting)
+
+    def take_start(self) -> WaitingStart | None:
+        """Return the next start, which ``permit_start`` may still refuse."""
+        if not self._waiting:
+            return None
+        _, waiting = self._waiting.popitem(last=False)
+        return waiting
+
+    def permit_start(
+        self, waiting: WaitingStart, now: timedelta
+    ) -> Result[StartPermit, str]:
+        """Permit to send a start at ``now``, or tell the reason to refuse it.
+
+        What was decided when the order arrived may have changed while it waited.
+        """
+        run = waiting.run
+        if waiting.session != (self.epoch, self.session):
+            return Failure(SESSION_OVER)
+        if run in self._stops:
+            return Failure(WITHDRAWN)
+        if self.runner is None or self.runner.draining:
+            return Failure("draining")
+        deadline = self.compute_lease_deadline(now)
+        if deadline is None:
+            return Failure("no authority")
+        if not self.reserve_start(run):
+            return Failure(NO_ROOM)
+        self._crash_watch.mark_sent(run, now)
+        return Success(StartPermit(deadline, self.born))
+
     def mark_sent(self, run: Run, now: timedelta) -> None:
         """Record that a start is about to be sent to the runner."""
         self._crash_watch.mark_sent(run, now)
@@ -605,8 +700,13 @@
     def mark_refused(self, run: Run, reason: str) -> None:
         """Record a start that has had no effect and never will."""
         number = self._starting.pop(run, 0)
+        self._waiting.pop(run, None)
         self._rooms.release(run)
         self._refused.setdefault(RefusedStart(run.task, run.run, reason, number), 0)
+        logger.info(
+            "start refused",
+            extra={"task": run.task, "run": run.run, "reason": reason},
+        )
 
     # Reports
 
@@ -670,14 +770,14 @@
             self._rooms.knows(task) or not self._are_demands_sent
         )
 
+    def is_running(self, run: Run) -> bool:
+        """Return whether a run goes on, as of the last poll, and need not stop."""
+        return run in self._running and run not in self._stops
+
     def _has_consistent_runner(self) -> bool:
         """Return whether the last heartbeat and poll are of the same runner process."""
         return self.runner is not None and self.runner.born == self.born
 
-    def is_current_session(self, session: tuple[int, int]) -> bool:
-        """Return whether starts that were ordered in ``session`` are still valid."""
-        return session == (self.epoch, self.session)
-
     def confirm_report(self, message: HostOrders) -> None:
         """Record that the leader has received a report."""
         sequence = message.report_sequence
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -144,7 +144,7 @@
         )
         self.order_wait_seconds = Histogram(
             "egretcrank_order_wait_seconds",
-            "Time from an order's arrival at the agent until its turn.",
+            "Time from the arrival of a start at the agent until it is sent.",
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -14,9 +14,13 @@
 CALL_TIMEOUT = timedelta(milliseconds=600)
 # Timeout of a poll beyond the wait that it requests.
 POLL_MARGIN = timedelta(milliseconds=900)
-MAX_CONNECTIONS = 6
+MAX_CONNECTIONS = 8
 # Number of ended tasks that a runner lists at a time.
 MAX_LISTED_ENDS = 500
+# Refusals of a command: its fencing token is lower than one that the runner has seen,
+# or the runner is unhealthy and has done nothing.
+FENCED = "fence"
+UNHEALTHY = "unhealthy"
 INSTANCE_HEADER = "Egretcrank-Expected-Instance"
 
 
@@ -140,7 +144,7 @@
                 lambda body: CommandResult(body.clock_ms, body.reason or "conflict")
             )
         case 429 | 503:
-            return Success(CommandResult(0, "unhealthy"))
+            return Success(CommandResult(0, UNHEALTHY))
         case 400 | 421:
             return Success(CommandResult(0, "invalid"))
     return Failure(
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -37,6 +37,7 @@
 )
 from egretcrank.wire.hosting import (
     NO_ROOM,
+    WITHDRAWN,
     EndedTask,
     HostOrders,
     HostReport,
@@ -530,6 +531,9 @@
             or placement.order_number != refused.number
         ):
             return
+        if refused.reason == WITHDRAWN:
+            self._runs.release(placement, "start refused: withdrawn")
+            return
         self._runs.release(placement, f"start refused: {refused.reason}")
         # A host without room by the leader's own figures needs no further time.
         if refused.reason != NO_ROOM or host.can_hold(placement.step.definition):
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -64,6 +64,8 @@
 
 # Reason of a refusal for lack of room on the runner.
 NO_ROOM = "room"
+# Reason of a refusal of a start that a stop overtook.
+WITHDRAWN = "withdrawn"
 
 
 class RefusedStart(NamedTuple):
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -13,10 +13,15 @@
 from typing import Any, NamedTuple
 from unittest.mock import patch
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from egretcrank.agent.pace import PaceController
-from egretcrank.agent.state import AgentState, Identity
+from egretcrank.agent.state import (
+    AgentState,
+    Identity,
+    StartPermit,
+    WaitingStart,
+)
 from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.runner import RunnerSnapshot
 from egretcrank.scheduling.catalog import Catalog, Queue, Service
@@ -41,7 +46,6 @@
     RunnerInfo,
     RunningTask,
     StartOrder,
-    StopOrder,
 )
 from tests.cases import ManualClock
 
@@ -317,6 +321,8 @@
         self.pace = PaceController()
         self.heartbeats = 0
         self.is_polling = True
+        # Whether starts wait, as calls without an answer hold up all threads for them.
+        self.is_held_up = False
         self.token = int(world.now() / timedelta(milliseconds=1)) + 1000 * incarnation
 
     def poll_runner(self) -> None:
@@ -350,33 +356,32 @@
 
     def receive(self, poll: Poll) -> None:
         """Receive the reply to a poll."""
-        now = self.world.now()
-        self.state.apply_snapshot(poll.snapshot, now, poll.number)
-        for run in self.state.list_pending_stops(now):
-            self.runner.stop(run.task, run.run, self.token)
+        self.state.apply_snapshot(poll.snapshot, self.world.now(), poll.number)
+        self.carry_out_orders()
 
     def handle_orders(self, message: HostOrders) -> None:
-        for order in self.state.accept_orders(message):
-            match order:
-                case _ if order.start is not None:
-                    self.start(order.start)
-                case _ if order.stop is not None:
-                    stop: StopOrder = order.stop
-                    self.runner.stop(stop.task, stop.run, self.token)
+        self.state.accept_orders(message, self.world.now())
+        self.carry_out_orders()
         self.state.confirm_report(message)
 
-    def start(self, order: StartOrder) -> None:
-        run = Run(order.task, order.run)
-        born = self.state.born
-        deadline = self.state.compute_lease_deadline(self.world.now())
-        unreachable = self.runner.silent or not self.runner.listening
-        if deadline is None or unreachable:
+    def carry_out_orders(self) -> None:
+        """Send the stops that are due, and the starts while no call holds them up."""
+        while (run := self.state.take_stop(self.world.now())) is not None:
+            self.runner.stop(run.task, run.run, self.token)
+        while not self.is_held_up and (waiting := self.state.take_start()):
+            self.start(waiting)
+
+    def start(self, waiting: WaitingStart) -> None:
+        run, order = waiting.run, waiting.order
+        if self.runner.silent or not self.runner.listening:
             self.state.mark_refused(run, "no authority")
             return
-        if not self.state.reserve_start(run):
-            self.state.mark_refused(run, "room")
-            return
-        self.state.mark_sent(run, self.world.now())
+        match self.state.permit_start(waiting, self.world.now()):
+            case Failure(reason):
+                self.state.mark_refused(run, reason)
+                return
+            case Success(StartPermit(deadline, born)):
+                pass
         if self.world.random.random() < self.world.late_start_probability:
             late_start = LateStart(
                 self.runner, self.runner.born, order, deadline, self.token
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -9,8 +9,10 @@
 
 from egretcrank.agent.crashes import MAX_LOGGED_RUNS, MAX_SUSPECTS
 from egretcrank.agent.daemon import Agent
+from egretcrank.agent.execution import OrderExecutor
 from egretcrank.agent.pace import PaceController
-from egretcrank.agent.state import AgentState, Identity
+from egretcrank.agent.state import AgentState, Identity, WaitingStart
+from egretcrank.agent.tokens import FencingToken
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.runner import (
@@ -626,11 +628,21 @@
         agent._metrics = Metrics()
         agent._runner = cast(Runner, self.runner)
         agent._runner_unreachable = False
-        agent._token = 1
+        agent._token = FencingToken(1)
+        agent._executor = OrderExecutor(
+            agent._runner,
+            self.state,
+            agent._lock,
+            self.clock,
+            agent._metrics,
+            agent._token,
+            agent._apply_snapshot,
+            agent._report_due.set,
+        )
         self.agent = agent
         info = RunnerInfo("r", FORMER, "s", "", "", (), 1, 1, 0, False, 0.0)
         self.state.update_runner(info, 1)
-        sleep = patch("egretcrank.agent.daemon.time.sleep", self.pass_time)
+        sleep = patch("egretcrank.agent.execution.time.sleep", self.pass_time)
         sleep.start()
         self.addCleanup(sleep.stop)
 
@@ -639,7 +651,8 @@
 
     def execute(self, run: Run) -> None:
         self.order(run)
-        self.agent._start(build_order(run), (self.epoch, 1))
+        waiting = WaitingStart(build_order(run), (self.epoch, 1), self.clock.boottime())
+        self.agent._executor.carry_out(waiting)
 
     def render_crashes(self) -> list[str]:
         body, _ = self.agent._metrics.render("text/plain")
--- a/tests/test_host_sessions.py
+++ b/tests/test_host_sessions.py
@@ -367,17 +367,16 @@
             world.run(0.3)
         message = next(message for message in held if message.orders)
         # The agent accepts the order, but is stopped before it carries it out.
-        (order,) = agent.state.accept_orders(message)
+        agent.state.accept_orders(message)
+        start = agent.state.take_start()
+        assert start is not None
         del world.agents["h0"]
         use_only(world)
         world.run((SETTINGS.lease + SILENT_HOST_RETENTION).total_seconds() + 2)
         self.assertEqual(len(world.starts), 1)
         world.agents["h0"] = agent
         world.run(0.5)
-        session = (message.epoch, message.session)
-        assert order.start is not None
-        if agent.state.is_current_session(session):
-            agent.start(order.start)
+        agent.start(start)
         self.assertEqual(world.violations, [])
 
 
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -6,16 +6,18 @@
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from datetime import timedelta
-from typing import NamedTuple
+from typing import NamedTuple, cast
 from unittest.mock import patch
 
 import msgspec
 from returns.result import Result, Success
 
 from egretcrank.agent.daemon import Agent
+from egretcrank.agent.execution import OrderExecutor
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.rooms import Load, fits
 from egretcrank.agent.state import AgentState, Identity
+from egretcrank.agent.tokens import FencingToken
 from egretcrank.errors.kinds import Problem
 from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.heartbeats import Heartbeat
@@ -324,7 +326,7 @@
         self.fill()
         self.assertFalse(self.state.reserve_start(RUNS[2]))
         self.list_runs(*RUNS[:2])
-        self.state._stopping.add(RUNS[0])
+        self.state._stops.add(RUNS[0])
         self.assertFalse(self.state.reserve_start(RUNS[2]))
         self.list_runs(RUNS[1], ended=(EndedTask(1, *RUNS[0], "stopped", ""),))
         self.assertTrue(self.state.reserve_start(RUNS[2]))
@@ -446,26 +448,27 @@
 
     def test_two_starts_at_the_same_moment_do_not_share_the_last_room(self):
         """Guards against a check that both starts pass before either is sent."""
-        agent = Agent.__new__(Agent)
-        agent._lock = threading.RLock()
-        agent._state = AgentState(Identity("h", "h:1", "i"))
-        agent._clock = ManualClock()
-        agent._metrics = Metrics()
-        agent._report_due = threading.Event()
-        agent._token = 1
+        state = AgentState(Identity("h", "h:1", "i"))
         runner = SlowRunner()
-        agent._state.update_runner(build_runner_info(cpu=1000), 1)
-        poll = agent._state.begin_poll()
-        agent._state.apply_snapshot(RunnerSnapshot(1000, 1, (), ()), NOW, poll)
-        orders = agent._state.accept_orders(build_orders(*TASKS[:2]))
-        with (
-            patch.object(agent, "_runner", runner, create=True),
-            ThreadPoolExecutor(2) as pool,
-        ):
-            for order in orders:
-                pool.submit(agent._execute_order, order, (1, 1))
+        executor = OrderExecutor(
+            cast(Runner, runner),
+            state,
+            threading.RLock(),
+            ManualClock(),
+            Metrics(),
+            FencingToken(1),
+            lambda *_: None,
+            lambda: None,
+        )
+        state.update_runner(build_runner_info(cpu=1000), 1)
+        poll = state.begin_poll()
+        state.apply_snapshot(RunnerSnapshot(1000, 1, (), ()), NOW, poll)
+        state.accept_orders(build_orders(*TASKS[:2]), NOW)
+        with ThreadPoolExecutor(2) as pool:
+            while (waiting := state.take_start()) is not None:
+                pool.submit(executor.carry_out, waiting)
         self.assertEqual(len(runner.started), 1)
-        report = agent._state.build_report(NOW, PaceController())
+        report = state.build_report(NOW, PaceController())
         self.assertEqual([refused.reason for refused in report.refused], ["room"])
 
 
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -7,7 +7,12 @@
 
 from egretcrank.agent.daemon import Agent
 from egretcrank.agent.pace import MEASUREMENT_INTERVAL
-from egretcrank.agent.state import FULL_REPORT_INTERVAL, AgentState, Identity
+from egretcrank.agent.state import (
+    FULL_REPORT_INTERVAL,
+    AgentState,
+    Identity,
+    WaitingStart,
+)
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.platform.calls import HttpClient
 from egretcrank.platform.runner import RunnerSnapshot
@@ -190,7 +195,7 @@
 class NextRunnerTests(AsyncTestCase):
     """Calls that the next process of a restarted runner carries out."""
 
-    def hold_a_start(self, world: World) -> StartOrder:
+    def hold_a_start(self, world: World) -> WaitingStart:
         """Return a start that the agent of h0 has accepted and not carried out."""
         for runner in world.runners[1:]:
             runner.draining = True
@@ -199,13 +204,14 @@
             world.submit(build_step(long_running=True, width=1))
             world.run(0.3)
         message = next(message for message in held if message.orders)
-        (order,) = world.agents["h0"].state.accept_orders(message)
+        world.agents["h0"].state.accept_orders(message)
+        start = world.agents["h0"].state.take_start()
         for runner in world.runners[1:]:
             runner.draining = False
-        assert order.start is not None
-        return order.start
+        assert start is not None
+        return start
 
-    def start_after_a_restart(self, world: World, start: StartOrder) -> None:
+    def start_after_a_restart(self, world: World, start: WaitingStart) -> None:
         """Cut the host off, and restart its runner before the start."""
         agent, runner = world.agents.pop("h0"), world.runners[0]
         for _ in range(40):
@@ -323,11 +329,12 @@
             world.cancel(job)
             world.run(0.3)
         orders = [m for m in held if m.orders]
-        (start,) = agent.state.accept_orders(orders[0])
+        agent.state.accept_orders(orders[0])
+        start = agent.state.take_start()
+        assert start is not None
         agent.state.accept_orders(orders[-1])
         agent.poll_runner()
-        assert start.start is not None
-        agent.start(start.start)
+        agent.start(start)
         world.run(3)
         self.assertEqual(runner.running, {})
 
@@ -382,12 +389,12 @@
         reply = RunnerSnapshot(7900, 2, listed, ())
         now = timedelta(seconds=1008)
         self.state.apply_snapshot(reply, now, self.state.begin_poll())
-        self.assertEqual(self.state.list_pending_stops(now), [self.run_])
+        self.assertEqual(self.state.take_stop(now), self.run_)
 
     def test_a_stop_outlasts_a_restart_and_a_silence_of_the_runner(self):
         """Guards against a cancelled task whose start was still on its way."""
         self.state._starting[self.run_] = 1
-        self.state._stopping.add(self.run_)
+        self.state._stops.add(self.run_)
         self.state._running[Run("k.0.0.0", 1)] = RunningTask("k.0.0.0", 1, "", 0, 0.0)
         poll = self.state.begin_poll()
         later = timedelta(seconds=1008)
@@ -398,7 +405,7 @@
         now = timedelta(seconds=1008.5)
         reply = RunnerSnapshot(500, 2, listed, ())
         self.state.apply_snapshot(reply, now, self.state.begin_poll())
-        self.assertEqual(self.state.list_pending_stops(now), [self.run_])
+        self.assertEqual(self.state.take_stop(now), self.run_)
 
 
 class LookTests(AsyncTestCase):
--- a/tests/test_withdrawn_orders.py
+++ b/tests/test_withdrawn_orders.py
@@ -1,12 +1,14 @@
 """Tests of orders that are withdrawn before they are carried out."""
 
 import threading
-from typing import cast
+from typing import Any, cast
 
 from returns.result import Failure, Result, Success
 
 from bench.addresses import find_address
 from egretcrank.agent.daemon import Agent
+from egretcrank.agent.pace import PaceChange
+from egretcrank.agent.stops import STOP_RESEND_DELAY
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.runner import CommandResult, Runner, RunnerSnapshot
 from egretcrank.settings.platform import (
@@ -86,7 +88,7 @@
         self.clock += 100
         return Success(RunnerSnapshot(self.clock, 1, self.running, ()))
 
-    def _note(self, calls: list, call: object) -> None:
+    def _note(self, calls: list[Any], call: object) -> None:
         with self._changed:
             calls.append(call)
             self._changed.notify_all()
@@ -102,7 +104,7 @@
             self._released = True
             self._changed.notify_all()
 
-    def wait_for(self, calls: list, count: int) -> bool:
+    def wait_for(self, calls: list[Any], count: int) -> bool:
         """Return whether ``count`` calls have arrived."""
         with self._changed:
             return self._changed.wait_for(lambda: len(calls) >= count, PATIENCE_SECONDS)
@@ -118,6 +120,7 @@
         self.addCleanup(self.runner.release)
         self.agent = self.build_agent()
         self.applied = 0
+        self.session = 1
         self.agent._state.update_runner(INFO, 1)
         self.poll()
         self.send()
@@ -131,7 +134,8 @@
             RunnerSettings(address="127.0.0.1:1", heartbeat_address=find_address()),
         )
         agent = Agent(settings, self.clock)
-        agent._runner = cast(Runner, self.runner)
+        agent._runner = agent._executor._runner = cast(Runner, self.runner)
+        agent._executor.start_threads()
         return agent
 
     def poll(self) -> None:
@@ -152,7 +156,7 @@
         self.agent._handle_orders(
             HostOrders(
                 epoch=1,
-                session=1,
+                session=self.session,
                 incarnation=self.agent._state._identity.incarnation,
                 authority_seconds=6.0,
                 report_sent_at=self.clock.boottime().total_seconds(),
@@ -194,3 +198,144 @@
         self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
         self.stop(9)
         self.assertTrue(self.runner.wait_for(self.runner.stops, 1))
+
+    def test_a_start_in_flight_is_stopped_at_once(self):
+        """Guards against a start that the runner carries out after its stop."""
+        self.start(0)
+        self.assertTrue(self.runner.wait_for(self.runner.starts, 1))
+        self.stop(0)
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 1))
+        self.assertEqual(self.runner.stops, [build_run(0)])
+
+    def test_a_stop_without_an_answer_is_sent_again_while_the_run_goes_on(self):
+        """Guards against a cancelled task that goes on as its stop was lost."""
+        self.runner.hangs_on_stops = True
+        self.runner.running = (RunningTask(*build_run(9), "", 0, 0.0),)
+        self.poll()
+        self.stop(9)
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 1))
+        self.poll()
+        self.assertIsNone(self.agent._state.take_stop(self.clock.boottime()))
+        self.clock.advance(STOP_RESEND_DELAY)
+        self.poll()
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 2))
+        self.clock.advance(STOP_RESEND_DELAY)
+        self.runner.running = ()
+        self.poll()
+        self.assertIsNone(self.agent._state.take_stop(self.clock.boottime()))
+
+    def test_a_stop_that_a_fence_refused_is_sent_again_at_once(self):
+        """Guards against a stop that is lost beside a start that is settled."""
+        self.runner.running = (RunningTask(*build_run(9), "", 0, 0.0),)
+        self.poll()
+        self.runner.lowest_token = self.agent._token.value + 1
+        self.stop(9)
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 2))
+        self.assertLess(self.runner.tokens[0], self.runner.tokens[1])
+
+    def test_polls_go_on_while_stops_have_no_answer(self):
+        """Guards against leases that lapse as the poll thread sends stops."""
+        self.runner.hangs_on_stops = True
+        runs = [build_run(i) for i in range(MAX_TASKS)]
+        self.runner.running = tuple(RunningTask(*run, "", 0, 0.0) for run in runs)
+        self.poll()
+        self.stop(*range(MAX_TASKS))
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 2))
+        self.poll()
+        self.assertEqual(len(self.runner.stops), 2)
+
+    def test_a_stop_by_a_former_agent_process_reaches_a_run_that_is_not_listed(self):
+        """Guards against a late start of a predecessor that nothing stops."""
+        self.stop(9)
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 1))
+        self.poll()
+        self.clock.advance(STOP_RESEND_DELAY)
+        self.poll()
+        self.assertIsNone(self.agent._state.take_stop(self.clock.boottime()))
+
+
+class PaceTests(WithdrawnOrderCase):
+    """Paces that wait behind calls without an answer."""
+
+    def setUp(self):
+        super().setUp()
+        runs = [build_run(i) for i in range(3)]
+        self.runner.running = tuple(RunningTask(*run, "", 0, 0.0) for run in runs)
+        self.poll()
+        self.set_pace(0, 50)
+        self.assertTrue(self.runner.wait_for(self.runner.paces, 1))
+
+    def set_pace(self, index: int, percent: int) -> None:
+        self.agent._executor.set_paces([PaceChange(*build_run(index), percent)])
+
+    def test_a_newer_pace_replaces_one_that_waits(self):
+        """Guards against a task that is slowed down again by an outdated pace."""
+        self.set_pace(1, 20)
+        self.set_pace(1, 70)
+        self.runner.release()
+        self.assertTrue(self.runner.wait_for(self.runner.paces, 2))
+        self.assertEqual(self.runner.paces[1], (build_run(1), 70))
+
+    def test_no_pace_is_sent_for_a_run_that_has_ended_or_has_to_stop(self):
+        """Guards against calls that delay the paces of runs that go on."""
+        self.set_pace(1, 20)
+        self.stop(1)
+        self.set_pace(2, 30)
+        self.runner.release()
+        self.assertTrue(self.runner.wait_for(self.runner.paces, 2))
+        self.assertEqual(self.runner.paces[1], (build_run(2), 30))
+
+    def test_a_pace_without_an_answer_has_no_effect_after_a_newer_one(self):
+        """Guards against a serving task that is disturbed by a late pace."""
+        token = self.agent._token.value
+        self.runner.release()
+        self.set_pace(2, 30)
+        self.assertTrue(self.runner.wait_for(self.runner.paces, 2))
+        self.assertGreater(self.agent._token.value, token)
+
+    def test_a_pace_without_an_answer_is_sent_again(self):
+        """Guards against a task that is never slowed down as a call was lost."""
+        self.runner.release()
+        self.set_pace(2, 30)
+        self.assertTrue(self.runner.wait_for(self.runner.paces, 2))
+        self.agent._executor.set_paces([])
+        self.assertTrue(self.runner.wait_for(self.runner.paces, 3))
+        self.assertIn(self.runner.paces[2], [(build_run(0), 50), (build_run(2), 30)])
+
+
+class RefusalTests(WithdrawnOrderCase):
+    """Waiting starts that are refused without a call."""
+
+    def list_refusals(self) -> list[tuple[str, str, int]]:
+        report = self.agent._state.build_report(self.clock.boottime(), self.agent._pace)
+        return [(r.task, r.reason, r.number) for r in report.refused]
+
+    def hold_up_starts(self) -> None:
+        self.start(*range(CONCURRENT_STARTS))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
+
+    def test_a_withdrawn_start_is_reported_before_its_turn(self):
+        """Guards against capacity that stays reserved for a cancelled job."""
+        self.hold_up_starts()
+        self.start(9)
+        self.stop(9)
+        task = build_run(9).task
+        self.assertEqual(
+            self.list_refusals(), [(task, "withdrawn", CONCURRENT_STARTS + 1)]
+        )
+        self.assertEqual(self.agent._state.waiting_starts, 0)
+
+    def test_a_start_of_a_former_session_is_refused_before_its_turn(self):
+        """Guards against orders of a leader that has been replaced."""
+        self.hold_up_starts()
+        self.start(9)
+        self.applied = 0
+        self.session = 2
+        self.send()
+        self.assertEqual(
+            self.list_refusals(), [(build_run(9).task, "session is over", 0)]
+        )
+        self.runner.release()
+        self.start(10)
+        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS + 1))
+        self.assertNotIn(build_run(9), self.runner.starts)
