Let only reads that reach the end prove the view of the log

The age of a view was the time since the start of the last successful read, even if the page was cut off: of 1 MB that lie ahead, a cancellation may be in the part that was not returned.

The age now counts from the start of a read whose end of the partition has been reached. A read that was cut off proves its start once the following ones have passed its end, so that a view of a log that grows with each read is known to be recent, too. `read_newest` returns the lowest end of its pages, which is that of its start or later, so it counts like any other read.

Evidence: without the change three of the new tests in tests/test_tail.py fail (age of 1 s in place of 3 s after two pages that were cut off; wait of 1 s).

--- a/src/egretcrank/controller/tail.py
+++ b/src/egretcrank/controller/tail.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 from datetime import timedelta
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -15,6 +16,9 @@
 # Maximum wait of one read for new records. A longer wait would save calls, but delay
 # the detection of a dead connection.
 POLL_TIMEOUT = timedelta(seconds=1)
+# The same for a leader. Its view of an idle log is older than one read by less than the
+# next one, and what it starts must not be older than the bound on cancellations.
+URGENT_POLL_TIMEOUT = timedelta(milliseconds=400)
 RETRY_DELAY = timedelta(milliseconds=150)
 OUTAGE_THRESHOLD = timedelta(milliseconds=400)
 # Pause after a read that returned records, so that the next read returns several at
@@ -25,6 +29,13 @@
 logger = logging.getLogger(__name__)
 
 
+class UnreachedEnd(NamedTuple):
+    """End of the partition that a read found beyond the records that it returned."""
+
+    started_at: timedelta
+    end: int
+
+
 class Tail:
     """Follows one partition of a keyed topic on its own thread.
 
@@ -47,7 +58,9 @@
         self._clock = clock
         self._on_records = on_records
         self._position: int | None = None
-        self._last_read_at: timedelta | None = None
+        # All records that were stored before this time have been passed on.
+        self._proven_at: timedelta | None = None
+        self._unreached: UnreachedEnd | None = None
         self._progress = threading.Condition()
         self._stopped = threading.Event()
         self._available = True
@@ -62,11 +75,20 @@
         """End offset of the records passed on so far, -1 before the first read."""
         return -1 if self._position is None else self._position
 
+    @property
+    def proven_at(self) -> timedelta | None:
+        """Time before which all records stored have been passed on, None if unknown.
+
+        It is the start of a read whose end of the partition has been reached. A page
+        that is cut off proves nothing of the records that follow.
+        """
+        return self._proven_at
+
     def get_view_age(self) -> timedelta:
-        """Return the time since the start of the last successful read."""
-        if self._last_read_at is None:
+        """Return the time for which records may have been stored and not passed on."""
+        if self._proven_at is None:
             return timedelta.max
-        return self._clock.boottime() - self._last_read_at
+        return self._clock.boottime() - self._proven_at
 
     def get_outage_duration(self) -> timedelta:
         """Return for how long reads have been failing, 0 while they succeed."""
@@ -130,7 +152,7 @@
                         self._on_records(page.records)
                     with self._progress:
                         self._position = self._compute_next_position(page)
-                        self._last_read_at = started_at
+                        self._record_proof(started_at, page.end)
                         self._progress.notify_all()
                     if page.records:
                         self._pause()
@@ -150,7 +172,10 @@
         if self._position is None:
             return self._store.read_newest(self._topic, self._partition)
         return self._store.read(
-            self._topic, self._partition, self._position, POLL_TIMEOUT
+            self._topic,
+            self._partition,
+            self._position,
+            URGENT_POLL_TIMEOUT if self._urgent else POLL_TIMEOUT,
         )
 
     def _compute_next_position(self, page: LogPage) -> int:
@@ -158,6 +183,20 @@
             return page.end
         return self._position + len(page.records)
 
+    def _record_proof(self, started_at: timedelta, end: int) -> None:
+        """Update the proof after a read that found the partition to end at ``end``.
+
+        A compacted read of several pages returns the lowest end that it found, which is
+        that of its start or later, so it proves as much as any other read.
+        """
+        unreached = self._unreached
+        if unreached is not None and self.position >= unreached.end:
+            self._proven_at, self._unreached = unreached.started_at, None
+        if self.position >= end:
+            self._proven_at, self._unreached = started_at, None
+        elif self._unreached is None:
+            self._unreached = UnreachedEnd(started_at, end)
+
     def _set_available(self, available: bool, detail: str) -> None:
         if available == self._available:
             return
--- a/tests/test_tail.py
+++ b/tests/test_tail.py
@@ -1,14 +1,15 @@
-"""Tests of the pauses between reads of a log partition."""
+"""Tests of the reads of a log partition: their pauses and what they prove."""
 
 import threading
 from datetime import timedelta
 from typing import Any
 from unittest.mock import patch
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from egretcrank.controller import tail as tail_module
-from egretcrank.controller.tail import Tail
+from egretcrank.controller.tail import POLL_TIMEOUT, URGENT_POLL_TIMEOUT, Tail
+from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.store import LogPage
 from egretcrank.scheduling.table import StoredValue
 from tests.cases import AsyncTestCase, ManualClock
@@ -83,3 +84,89 @@
         tail = Tail(store, "t", 0, ManualClock(), lambda records: None)
         tail.refresh(LONG)
         self.assertEqual(store.reads, 0)
+
+
+READ_TIME = timedelta(seconds=1)
+UNAVAILABLE = Problem(ErrorKind.LOG_UNAVAILABLE, "log is down", "store")
+
+
+class _ScriptedStore:
+    """Log whose reads each take ``READ_TIME`` and return the next of some pages.
+
+    A page is given as the end of the partition and the number of records returned.
+    """
+
+    def __init__(self, clock: ManualClock, *pages: tuple[int, int] | None) -> None:
+        self.clock = clock
+        self.pages = list(pages)
+        self.waits: list[timedelta] = []
+        self.tail: Tail | None = None
+
+    def read_newest(self, _topic: str, _partition: int) -> Any:
+        return self._answer(0)
+
+    def read(self, _topic: str, _partition: int, offset: int, wait: timedelta) -> Any:
+        self.waits.append(wait)
+        return self._answer(offset)
+
+    def _answer(self, offset: int) -> Any:
+        self.clock.advance(READ_TIME)
+        page = self.pages.pop(0)
+        if not self.pages and self.tail is not None:
+            self.tail.stop()
+        if page is None:
+            return Failure(UNAVAILABLE)
+        end, count = page
+        records = [StoredValue(offset + n, "k", b"v") for n in range(count)]
+        return Success(LogPage(end, tuple(records)))
+
+
+class ProofTests(AsyncTestCase):
+    """What reads prove of the age of the view."""
+
+    def _follow(self, *pages: tuple[int, int] | None, urgent: bool = True) -> Tail:
+        """Follow a log until it has returned ``pages``, without pauses if urgent."""
+        clock = ManualClock()
+        store: Any = _ScriptedStore(clock, *pages)
+        tail = store.tail = Tail(store, "t", 0, clock, lambda records: None)
+        tail.set_urgent(urgent)
+        tail.run()
+        self.waits = store.waits
+        return tail
+
+    def test_a_view_is_as_old_as_the_start_of_its_last_read(self):
+        """Guards against trusting a view for the time that a read waited."""
+        self.assertEqual(self._follow((0, 0), (2, 2)).get_view_age(), READ_TIME)
+
+    def test_a_page_that_is_cut_off_does_not_make_the_view_recent(self):
+        """Guards against a cancellation that lies behind what a page could hold."""
+        tail = self._follow((0, 0), (3, 1), (3, 1))
+        self.assertEqual(tail.get_view_age(), 3 * READ_TIME)
+
+    def test_the_page_that_reaches_the_end_makes_the_view_recent(self):
+        """Guards against a leader that places nothing after a page was cut off."""
+        tail = self._follow((0, 0), (3, 1), (3, 2))
+        self.assertEqual(tail.get_view_age(), READ_TIME)
+
+    def test_passing_the_end_that_a_read_found_proves_that_read(self):
+        """Guards against a view without proof while the log grows with each read."""
+        tail = self._follow((0, 0), (2, 1), (3, 1), (4, 1))
+        self.assertEqual(tail.get_view_age(), 2 * READ_TIME)
+
+    def test_a_compacted_read_is_proven_up_to_its_lowest_end(self):
+        """Guards against a new controller whose view counts as unknown."""
+        tail = self._follow((5, 3))
+        self.assertEqual(tail.get_view_age(), READ_TIME)
+        self.assertEqual(tail.position, 5)
+
+    def test_failed_reads_prove_nothing(self):
+        """Guards against a view that seems recent while the log is unavailable."""
+        tail = self._follow((0, 0), None)
+        self.assertEqual(tail.get_view_age(), 2 * READ_TIME)
+
+    def test_a_leader_waits_for_less_time_than_others(self):
+        """Guards against a leader that stops placing since its log is idle."""
+        self._follow((0, 0), (0, 0))
+        self.assertEqual(self.waits, [URGENT_POLL_TIMEOUT])
+        self._follow((0, 0), (0, 0), urgent=False)
+        self.assertEqual(self.waits, [POLL_TIMEOUT])
