Let a start wait at an agent only while the leader's view is recent

A start that waited at an agent was good until its session ended or its lease was refused. A leader that was replaced, cut off, or had not read the log could not withdraw it, and a lost message could hold its stop. An agent sends no start later than the time that the leader names (start_seconds), none while an order of the session is missing (last_order), and reports those that are out of date as refused.

The check of last_order has a test of its own, which fails without.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -316,8 +316,8 @@
         for order in orders:
             if order.stop is not None:
                 logger.info("stop accepted", extra=order.stop._asdict())
+        self._executor.wake()
         if orders:
-            self._executor.wake()
             self._report_due.set()
 
     # Reports
@@ -328,7 +328,9 @@
             self._report_due.clear()
             self._update_connection()
             with self._lock:
-                report = self._state.build_report(self._clock.boottime(), self._pace)
+                now = self._clock.boottime()
+                self._state.refuse_outdated_starts(now)
+                report = self._state.build_report(now, self._pace)
             self._link.send(report)
 
     def _update_connection(self) -> None:
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -614,6 +614,7 @@
             agent.poll_runner()
             # An agent may still report to a former leader.
             leader = self.attached.get(name) or self.leader
+            agent.state.refuse_outdated_starts(self.now())
             report = agent.state.build_report(self.now(), agent.pace)
             if (
                 leader.cell is not None
--- a/tests/test_withdrawn_orders.py
+++ b/tests/test_withdrawn_orders.py
@@ -1,6 +1,7 @@
 """Tests of orders that are withdrawn before they are carried out."""
 
 import threading
+from datetime import timedelta
 from typing import Any, cast
 
 from returns.result import Failure, Result, Success
@@ -8,6 +9,7 @@
 from bench.addresses import find_address
 from egretcrank.agent.daemon import Agent
 from egretcrank.agent.pace import PaceChange
+from egretcrank.agent.state import WaitingStart
 from egretcrank.agent.stops import STOP_RESEND_DELAY
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.runner import CommandResult, Runner, RunnerSnapshot
@@ -30,6 +32,8 @@
     TaskProfile,
 )
 from tests.cases import AsyncTestCase, ManualClock
+from tests.cell_world import World, build_step
+from tests.test_stale_views import Cancellations
 
 JOB = "00000000000000a1"
 PROFILE = TaskProfile(100, False, "", 0.0)
@@ -143,7 +147,7 @@
         number = self.agent._state.begin_poll()
         self.agent._apply_snapshot(self.runner.poll().unwrap(), number)
 
-    def send(self, *orders: StartOrder | StopOrder) -> None:
+    def send(self, *orders: StartOrder | StopOrder, **fields: Any) -> None:
         """Let a message of the leader with orders arrive."""
         numbered = []
         for order in orders:
@@ -163,6 +167,7 @@
                 orders=tuple(numbered),
                 specs={JOB: "spec"},
                 demands={build_run(i).task: DEMAND for i in range(MAX_TASKS)},
+                **fields,
             )
         )
 
@@ -303,8 +308,8 @@
         self.assertIn(self.runner.paces[2], [(build_run(0), 50), (build_run(2), 30)])
 
 
-class RefusalTests(WithdrawnOrderCase):
-    """Waiting starts that are refused without a call."""
+class RefusalCase(WithdrawnOrderCase):
+    """Starts that wait, and what the agent reports of them."""
 
     def list_refusals(self) -> list[tuple[str, str, int]]:
         report = self.agent._state.build_report(self.clock.boottime(), self.agent._pace)
@@ -314,6 +319,10 @@
         self.start(*range(CONCURRENT_STARTS))
         self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
 
+
+class RefusalTests(RefusalCase):
+    """Waiting starts that are refused without a call."""
+
     def test_a_withdrawn_start_is_reported_before_its_turn(self):
         """Guards against capacity that stays reserved for a cancelled job."""
         self.hold_up_starts()
@@ -339,3 +348,136 @@
         self.start(10)
         self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS + 1))
         self.assertNotIn(build_run(9), self.runner.starts)
+
+
+class LimitTests(RefusalCase):
+    """Starts that wait for longer than they are good for."""
+
+    def test_a_start_is_not_sent_after_the_time_that_the_leader_set(self):
+        """Guards against orders of a leader that has not heard of a cancellation."""
+        self.hold_up_starts()
+        self.start(9)
+        self.send(start_seconds=1.0)
+        self.clock.advance(timedelta(seconds=1))
+        self.agent._state.refuse_outdated_starts(self.clock.boottime())
+        task, number = build_run(9).task, CONCURRENT_STARTS + 1
+        refusal = (task, "order is out of date", number)
+        self.assertEqual(self.list_refusals(), [refusal])
+
+    def test_a_start_whose_time_has_passed_is_refused_at_its_turn(self):
+        """Guards against a start between two checks of the time."""
+        self.send(start_seconds=1.0)
+        self.clock.advance(timedelta(seconds=1))
+        now = self.clock.boottime()
+        order = StartOrder(*build_run(9), "", "", "", PROFILE)
+        permission = self.agent._state.permit_start(
+            WaitingStart(order, (1, 1), now), now
+        )
+        self.assertEqual(permission, Failure("order is out of date"))
+
+    def test_a_later_message_prolongs_the_time_for_a_start(self):
+        """Guards against starts that are refused on a busy host without need."""
+        self.hold_up_starts()
+        self.start(9)
+        self.send(start_seconds=1.0)
+        self.clock.advance(timedelta(seconds=0.9))
+        self.send(start_seconds=1.0)
+        self.clock.advance(timedelta(seconds=0.9))
+        self.agent._state.refuse_outdated_starts(self.clock.boottime())
+        self.assertEqual(self.list_refusals(), [])
+
+    def test_no_start_is_sent_while_a_message_with_orders_is_missing(self):
+        """Guards against a start whose stop was in a message that was lost."""
+        self.hold_up_starts()
+        self.start(9)
+        lost = StopOrder(*build_run(9))
+        self.send(last_order=self.applied + 1)
+        self.assertIsNone(self.agent._state.take_start())
+        self.send(lost)
+        self.assertEqual(self.list_refusals()[0][:2], (build_run(9).task, "withdrawn"))
+
+    def test_an_older_message_does_not_bring_back_a_limit(self):
+        """Guards against starts that are refused as messages overtook each other."""
+        self.send(start_seconds=5.0)
+        self.clock.advance(timedelta(seconds=-1))
+        self.send(start_seconds=0.0, last_order=99)
+        self.clock.advance(timedelta(seconds=1))
+        self.start(9)
+        self.assertTrue(self.runner.wait_for(self.runner.starts, 1))
+
+
+FUZZ_SEEDS = range(20)
+FUZZ_TICKS = 300
+
+
+class HeldStartFuzzTests(AsyncTestCase):
+    """Starts that wait at agents at random, beside cancellations and other failures."""
+
+    def test_no_task_of_a_cancelled_job_is_started_later_than_the_bound(self):
+        """Guards against a way of a withdrawn order past the checks of an agent."""
+        for seed in FUZZ_SEEDS:
+            with self.subTest(seed=seed):
+                fuzz = HeldStartFuzz(seed)
+                fuzz.run()
+                self.assertEqual(fuzz.watched.violations, [], f"seed {seed}")
+                self.assertEqual(fuzz.world.violations, [], f"seed {seed}")
+                phases = [fuzz.world.find_phase(job) for job in fuzz.jobs]
+                self.assertTrue(all(phase.final for phase in phases), f"seed {seed}")
+
+
+class HeldStartFuzz:
+    """One world whose agents hold starts up for 0.5 to 6 s now and then."""
+
+    def __init__(self, seed: int) -> None:
+        self.world = World(seed)
+        self.world.loss_probability = 0.1
+        self.watched = Cancellations(self.world)
+        self.jobs: list[str] = []
+        self.released_at: dict[str, timedelta] = {}
+
+    def run(self) -> None:
+        """Inject failures, then wait until every job has ended."""
+        world, rng = self.world, self.world.random
+        for _ in range(FUZZ_TICKS):
+            self._inject_failure()
+            self._hold_up_starts()
+            if rng.random() < 0.2:
+                step = build_step(width=rng.randint(1, 6), cpu=rng.choice([500, 1500]))
+                self.jobs.append(world.submit(step))
+            self.watched.step()
+        world.loss_probability = 0.0
+        world.attached = {}
+        self.released_at.clear()
+        for runner in world.runners:
+            runner.silent = False
+        for agent in world.agents.values():
+            agent.is_held_up = False
+        self.watched.run(60)
+
+    def _inject_failure(self) -> None:
+        world, rng = self.world, self.world.random
+        event = rng.random()
+        if event < 0.05:
+            until = world.now() + timedelta(seconds=rng.uniform(0.5, 6))
+            self.released_at[rng.choice(list(world.agents))] = until
+        elif event < 0.15 and self.jobs:
+            job = rng.choice(self.jobs[-5:])
+            if job not in self.watched.cancelled_at:
+                self.watched.cancel(job)
+        elif event < 0.16:
+            world.elect()
+        elif event < 0.18:
+            runner = rng.choice(world.runners)
+            runner.silent = not runner.silent
+        elif event < 0.19:
+            rng.choice(world.runners).restart()
+        elif event < 0.20:
+            name = rng.choice(list(world.agents))
+            world.attached[name] = rng.choice(world.leaders)
+        elif event < 0.22:
+            world.attached = {}
+
+    def _hold_up_starts(self) -> None:
+        for name, agent in self.world.agents.items():
+            until = self.released_at.get(name, timedelta())
+            agent.is_held_up = until > self.world.now()
