Store a cancellation before it is answered, also of an unknown job

A controller that had not read a job answered its cancellation with 410 and stored nothing, from a view up to 2.5 s old (`Tail.refresh` returns at once while a read is in progress); from an older view it answered 503. A record that was still on its way to the log met nothing at all.

`JobService.cancel` now appends `c/ID` for each job that has not ended, and answers after the append: 200 for a known job, 410 for one that is unknown in a fresh view, 200 in a stale one, and 503 or 504 as for other appends. The line `cancellation met no job` tells of each.

--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -157,11 +157,14 @@
         return Failure(self._build_unknown_job_problem(job_id))
 
     def cancel(self, job_id: str, time_limit: timedelta) -> Result[JobState, Problem]:
-        """Cancel a job; a job that has already ended keeps its state."""
+        """Cancel a job; a job that has already ended keeps its state.
+
+        The cancellation of a job that this controller does not know is stored as well:
+        its record may be further along the log, or may be appended later. In both cases
+        no task of it starts after the response, ``unknown_job`` included.
+        """
         entry = self._find_entry(job_id)
-        if entry is None:
-            return Failure(self._build_unknown_job_problem(job_id))
-        if entry.phase.final:
+        if entry is not None and entry.phase.final:
             return Success(JobState(entry.phase))
         key = RecordKey(RecordKind.CANCELLATION, job_id)
         stored = self._append(key, CANCELLATION_VALUE, time_limit)
@@ -169,14 +172,29 @@
             "cancellation",
             extra={"job": job_id, "stored": isinstance(stored, Success)},
         )
-        return stored.map(lambda _: JobState(Phase.CANCELLED))
+        return stored.bind(lambda _: self._describe_cancelled(job_id))
+
+    def _describe_cancelled(self, job_id: str) -> Result[JobState, Problem]:
+        """Return the state of a job whose cancellation has just been stored."""
+        entry = self._table.find(job_id)
+        if entry is not None:
+            # It may have ended before the cancellation reached the log.
+            phase = entry.phase if entry.phase.final else Phase.CANCELLED
+            return Success(JobState(phase))
+        age = self._tail.get_view_age()
+        logger.info(
+            "cancellation met no job",
+            extra={"job": job_id, "view_age": age.total_seconds()},
+        )
+        if age > MAX_VIEW_AGE:
+            return Success(JobState(Phase.CANCELLED))
+        return Failure(Problem(ErrorKind.UNKNOWN_JOB, "no such job"))
 
     def _find_entry(self, job_id: str) -> JobEntry | None:
         """Find a job, including one that another controller has just accepted.
 
         Followers pause between reads of the log. Without the refresh, a request right
-        after the job was accepted would be answered with ``unknown_job``, and a job
-        that its caller wanted to cancel would go on running.
+        after the job was accepted would be answered with ``unknown_job``.
         """
         entry = self._table.find(job_id)
         if entry is None:
