Answer a job that was cancelled before it as cancelled

A POST that arrives after the cancellation of its ID was answered with "queued", and a GET right behind it, once the record was read, with "cancelled". The record is stored as before and never starts; the answer now tells the state that the job has from its first moment on.

Evidence: the test fails on the former service.py ("queued"), 8 passed now.

--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -144,7 +144,11 @@
                 "problem": "" if isinstance(stored, Success) else stored.failure().kind,
             },
         )
-        return stored.map(lambda _: JobState(Phase.QUEUED))
+        return stored.map(lambda _: JobState(self._get_first_phase(definition.job_id)))
+
+    def _get_first_phase(self, job_id: str) -> Phase:
+        """Return the phase of a job whose record has just been stored."""
+        return Phase.CANCELLED if self._table.is_cancelled(job_id) else Phase.QUEUED
 
     def describe(self, job_id: str) -> Result[JobState, Problem]:
         """Return the state of a job.
--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -164,6 +164,11 @@
         entry = self.jobs.get(job_id)
         return entry if entry is not None and entry.definition is not None else None
 
+    def is_cancelled(self, job_id: str) -> bool:
+        """Return whether a job, or one whose record is yet to come, is cancelled."""
+        entry = self.jobs.get(job_id)
+        return entry is not None and entry.cancelled
+
     def count_waiting(self, queue: str) -> int:
         """Return the number of a queue's accepted jobs without a started task."""
         return sum(
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -129,3 +129,14 @@
         result = service.describe(JOB_ID)
         self.assertEqual(result, Success(JobState(Phase.CANCELLED)))
         self.assertEqual(service.count_waiting(QUEUE), 0)
+
+    def test_a_job_submitted_after_its_cancellation_is_stored_as_cancelled(self):
+        """Guards against the state "queued" for a job that never starts."""
+        service = self.build(STORED)
+        self.read((f"c/{JOB_ID}", b"1"))
+        result = service.submit(build_definition(), SHORT)
+        self.assertEqual(result, Success(JobState(Phase.CANCELLED)))
+        self.assertEqual([key for key, _ in self.list_appended()], [f"j/{JOB_ID}"])
+        self.read(*self.list_appended())
+        self.assertEqual(service.describe(JOB_ID), result)
+        self.assertEqual(service.submit(build_definition(), SHORT), result)
