Let the deletion of an old record keep what was stored after it

`JobTable` dropped the whole entry, and as the offset of the later record was known, reading that record again changed nothing: the job, or a cancellation that was stored ahead of its job, was lost in that controller, a new leader included.

A deletion now drops what the table holds from before its offset, and no more.

Evidence: test_a_deletion_leaves_what_was_stored_after_it fails on the former table.py and passes now; that of every order of stored and deleted keys passes on both.

--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -26,6 +26,13 @@
 # Deleted keys whose offset is kept: three records of each job, for 200 jobs a second
 # and the seconds that a page of newest records may be old.
 MAX_DELETED_KEYS = 20_000
+# Kinds of the records of one job.
+JOB_RECORD_KINDS = (
+    RecordKind.JOB,
+    RecordKind.CANCELLATION,
+    RecordKind.PROGRESS,
+    RecordKind.CRASHES,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -102,7 +109,7 @@
 
     def _apply_value(self, key: RecordKey, stored: StoredValue) -> bool:
         if not stored.value:
-            self._drop(key)
+            self._drop(key, stored.offset)
             return True
         if key.kind is RecordKind.CANCELLATION:
             self._find(key.name).cancelled = True
@@ -140,10 +147,10 @@
     def _find(self, job_id: str) -> JobEntry:
         return self.jobs.setdefault(job_id, JobEntry())
 
-    def _drop(self, key: RecordKey) -> None:
+    def _drop(self, key: RecordKey, offset: int) -> None:
         match key.kind:
             case RecordKind.JOB | RecordKind.PROGRESS | RecordKind.CANCELLATION:
-                self.jobs.pop(key.name, None)
+                self._drop_job(key.name, offset)
             case RecordKind.CRASHES:
                 if key.name in self.jobs:
                     self.jobs[key.name].crashes = None
@@ -152,6 +159,29 @@
             case RecordKind.PRESSURES:
                 self.pressures = ()
 
+    def _drop_job(self, job_id: str, offset: int) -> None:
+        """Drop all records of an expired job, up to the deletion of one of them.
+
+        A reader begins with the newest records, which may be later than a deletion that
+        it reads next.
+        """
+        entry = self.jobs.pop(job_id, None)
+        newer = {
+            kind
+            for kind in JOB_RECORD_KINDS
+            if self._offsets.get(RecordKey(kind, job_id).format(), -1) > offset
+        }
+        if entry is None or not newer:
+            return
+        kept = self._find(job_id)
+        if RecordKind.JOB in newer:
+            kept.definition, kept.offset = entry.definition, entry.offset
+        if RecordKind.PROGRESS in newer:
+            kept.progress = entry.progress
+        if RecordKind.CRASHES in newer:
+            kept.crashes = entry.crashes
+        kept.cancelled = RecordKind.CANCELLATION in newer
+
     def _refuse(self, stored: StoredValue, reason: str) -> None:
         self.refused += 1
         logger.warning(
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -1,6 +1,7 @@
 """Tests of cancellations that are stored before the record of their job is read."""
 
 from datetime import timedelta
+from itertools import permutations
 from typing import Any
 
 from returns.result import Failure, Success
@@ -140,3 +141,71 @@
         self.read(*self.list_appended())
         self.assertEqual(service.describe(JOB_ID), result)
         self.assertEqual(service.submit(build_definition(), SHORT), result)
+
+
+JOB_KEY, CANCELLATION_KEY, PROGRESS_KEY = (f"{kind}/{JOB_ID}" for kind in "jcp")
+JOB_VALUE = encode_record(build_definition())
+CANCELLED_VALUE = encode_record(ProgressRecord(Phase.CANCELLED, 1.0))
+
+
+class DeletionTests(AsyncTestCase):
+    """Deletions of a job's records, as each reader of the log applies them."""
+
+    def build(self, *records: tuple[str, bytes]) -> JobTable:
+        """Build a table from the records of a log that begins at offset 0."""
+        table = JobTable()
+        for offset, (key, value) in enumerate(records):
+            table.apply(StoredValue(offset, key, value))
+        return table
+
+    def test_the_deletion_of_a_cancellation_alone_leaves_nothing(self):
+        """Guards against entries that no record stands for."""
+        table = self.build((CANCELLATION_KEY, b"1"), (CANCELLATION_KEY, b""))
+        self.assertEqual((table.jobs, table._offsets), ({}, {}))
+        table.apply(StoredValue(2, JOB_KEY, JOB_VALUE))
+        entry = table.find(JOB_ID)
+        assert entry is not None
+        self.assertEqual(entry.phase, Phase.QUEUED)
+
+    def test_an_expired_job_is_dropped_in_any_order_of_its_keys(self):
+        """Guards against an expired job that looks like a new one for a while."""
+        records = {
+            JOB_KEY: JOB_VALUE,
+            CANCELLATION_KEY: b"1",
+            PROGRESS_KEY: CANCELLED_VALUE,
+        }
+        for stored in permutations(records):
+            for deleted in permutations(records):
+                table = self.build(*((key, records[key]) for key in stored))
+                for offset, key in enumerate(deleted, len(records)):
+                    table.apply(StoredValue(offset, key, b""))
+                    entry = table.find(JOB_ID)
+                    self.assertTrue(entry is None or entry.phase.final)
+                self.assertEqual((table.jobs, table._offsets), ({}, {}))
+
+    def test_a_deletion_leaves_what_was_stored_after_it(self):
+        """Guards against a reader that loses a record of a page of newest records.
+
+        The page is read first, and then the older records from its lowest end on.
+        """
+        newest = {
+            JOB_KEY: JOB_VALUE,
+            CANCELLATION_KEY: b"1",
+            PROGRESS_KEY: CANCELLED_VALUE,
+        }
+        for key, value in newest.items():
+            table = JobTable()
+            table.apply(StoredValue(20, key, value))
+            expected = JobTable()
+            expected.apply(StoredValue(20, key, value))
+            for offset, deleted in enumerate(newest, 10):
+                table.apply(StoredValue(offset, deleted, b""))
+            table.apply(StoredValue(20, key, value))
+            self.assertEqual(_describe(table), _describe(expected))
+
+
+def _describe(table: JobTable) -> list[tuple[Any, ...]]:
+    return [
+        (job_id, entry.definition, entry.cancelled, entry.progress)
+        for job_id, entry in table.jobs.items()
+    ]
