Keep a job whose cancellation is deleted alone

`JobTable` dropped the whole entry of a job at the deletion of any of its keys. Leaders delete a cancellation by itself once no job has met it for long, and the record of the job may come just before that deletion: each reader would have lost an accepted job, and answered its callers with 410.

The deletion of a cancellation drops an entry that has no definition; a job that met it stays cancelled.

Evidence: test_the_deletion_of_a_cancellation_keeps_the_job_that_met_it fails on the former table.py and passes now.

--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -149,8 +149,10 @@
 
     def _drop(self, key: RecordKey, offset: int) -> None:
         match key.kind:
-            case RecordKind.JOB | RecordKind.PROGRESS | RecordKind.CANCELLATION:
+            case RecordKind.JOB | RecordKind.PROGRESS:
                 self._drop_job(key.name, offset)
+            case RecordKind.CANCELLATION:
+                self._drop_unmet_cancellation(key.name)
             case RecordKind.CRASHES:
                 if key.name in self.jobs:
                     self.jobs[key.name].crashes = None
@@ -182,6 +184,19 @@
             kept.crashes = entry.crashes
         kept.cancelled = RecordKind.CANCELLATION in newer
 
+    def _drop_unmet_cancellation(self, job_id: str) -> None:
+        """Drop a cancellation that has met no job; a job that met it stays cancelled.
+
+        Leaders delete a cancellation whose job has not come for long. The record of the
+        job may come just before that deletion.
+        """
+        entry = self.jobs.get(job_id)
+        if entry is None or entry.definition is not None:
+            return
+        entry.cancelled = False
+        if entry.progress is None and entry.crashes is None:
+            del self.jobs[job_id]
+
     def _refuse(self, stored: StoredValue, reason: str) -> None:
         self.refused += 1
         logger.warning(
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -158,6 +158,15 @@
             table.apply(StoredValue(offset, key, value))
         return table
 
+    def test_the_deletion_of_a_cancellation_keeps_the_job_that_met_it(self):
+        """Guards against an accepted job that its readers lose."""
+        table = self.build(
+            (CANCELLATION_KEY, b"1"), (JOB_KEY, JOB_VALUE), (CANCELLATION_KEY, b"")
+        )
+        entry = table.find(JOB_ID)
+        assert entry is not None
+        self.assertEqual(entry.phase, Phase.CANCELLED)
+
     def test_the_deletion_of_a_cancellation_alone_leaves_nothing(self):
         """Guards against entries that no record stands for."""
         table = self.build((CANCELLATION_KEY, b"1"), (CANCELLATION_KEY, b""))
