Delete cancellations that meet no job

A cancellation that met no job stayed in the log and in the memory of each controller for good; with each cancellation stored, any caller could fill both. The leader now keeps the time at which it last read each of them, deletes it after `keep_ended`, and the oldest early where there are more than 20,000 (at most 500 in a round, as an append of many delays the others).

Such a deletion may cross a record on its way. A job that comes just before it has met its cancellation in the leader and in each reader, and the leader's record of its end says so to later ones; the deletion is left out if the leader has read the job by then. A cancellation that is stored again just before it is noticed when the leader reads its own deletion, and stored once more; a job that comes in between is cancelled from the leader's memory. A job whose record comes later than `keep_ended` after its last cancellation was read runs.

`job ended` names such a job as "cancelled before its record came".

--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -22,6 +22,7 @@
     find_unsupported,
 )
 from egretcrank.scheduling.records import (
+    CANCELLATION_VALUE,
     Phase,
     RecordKey,
     RecordKind,
@@ -44,7 +45,6 @@
 # Part of the caller's time limit that is reserved for sending the response.
 RESPONSE_MARGIN = timedelta(milliseconds=150)
 RETRY_AFTER_OUTAGE = timedelta(seconds=1)
-CANCELLATION_VALUE = b"1"
 
 logger = logging.getLogger(__name__)
 
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -8,6 +8,7 @@
 import logging
 from collections.abc import Iterable
 from datetime import timedelta
+from itertools import islice
 
 from egretcrank.clock import Clock
 from egretcrank.observability.metrics import Metrics
@@ -62,6 +63,9 @@
 MAX_STORED_PRESSURES = 1000
 # Longest time by which the clock of a former leader may have been ahead.
 MAX_CLOCK_LEAD = timedelta(minutes=1)
+# Cancellations without a job that the log keeps, and deletions of them in one round.
+MAX_UNMET_CANCELLATIONS = 20_000
+MAX_DELETED_CANCELLATIONS = 500
 # No task is started on a lease that expires sooner than this.
 MIN_AUTHORITY = timedelta(seconds=1)
 
@@ -88,6 +92,9 @@
         self.jobs: dict[str, Job] = {}
         # Jobs that have not ended.
         self._open_jobs: dict[str, Job] = {}
+        # Cancellations whose job has not come, with the time at which this leader read
+        # them; the oldest comes first.
+        self._unmet_cancellations: dict[str, timedelta] = {}
         self._highest_offset = -1
         self.hosts: dict[str, HostState] = {}
         self._runs = Runs(self.hosts, clock, metrics)
@@ -191,16 +198,31 @@
     # Jobs
 
     def apply_job(self, job_id: str) -> None:
-        """Apply the table entry of a job."""
+        """Apply the table entry of a job, or of a cancellation without a job."""
         entry = self._table.find(job_id)
         if entry is None or entry.definition is None:
+            self._track_cancellation(job_id)
             return
+        was_cancelled = self._unmet_cancellations.pop(job_id, None) is not None
         job = self.jobs.get(job_id)
         if job is None:
             job = self._add_job(job_id, entry)
-        if entry.cancelled and not job.phase.final:
+        if job.phase.final:
+            return
+        if was_cancelled:
+            self._end_job(job, Phase.CANCELLED, "cancelled before its record came")
+        elif entry.cancelled:
             self._end_job(job, Phase.CANCELLED, "cancelled by its caller")
 
+    def _track_cancellation(self, job_id: str) -> None:
+        """Keep the time of a cancellation that has met no job."""
+        if self._table.is_cancelled(job_id):
+            self._unmet_cancellations.pop(job_id, None)
+            self._unmet_cancellations[job_id] = self._clock.boottime()
+        elif job_id in self._unmet_cancellations:
+            # A caller stored it again just before this leader's deletion.
+            self._changes.mark_cancellation(job_id, present=True)
+
     def _add_job(self, job_id: str, entry: JobEntry) -> Job:
         assert entry.definition is not None
         job = Job(entry.definition, entry.offset)
@@ -635,6 +657,7 @@
         self._changes.flush_checkpoints(now)
         self._store_pressures(now)
         self._expire_jobs()
+        self._expire_cancellations(now)
 
     def _store_pressures(self, now: timedelta) -> None:
         """Write changed estimates to the log, for the next leader and its agents.
@@ -667,6 +690,16 @@
                     self._changes.mark_orphaned_crashes(job_id)
                 self._changes.mark_expired(job_id)
 
+    def _expire_cancellations(self, now: timedelta) -> None:
+        """Delete cancellations whose job has not come in the retention time."""
+        unmet = self._unmet_cancellations
+        before = now - self._settings.keep_ended
+        for job_id, read_at in list(islice(unmet.items(), MAX_DELETED_CANCELLATIONS)):
+            if read_at >= before and len(unmet) <= MAX_UNMET_CANCELLATIONS:
+                break
+            del unmet[job_id]
+            self._changes.mark_cancellation(job_id, present=False)
+
     # Decisions
 
     def plan(self) -> None:
--- a/src/egretcrank/scheduling/changes.py
+++ b/src/egretcrank/scheduling/changes.py
@@ -7,6 +7,7 @@
 from egretcrank.scheduling.definitions import TaskKey
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.records import (
+    CANCELLATION_VALUE,
     HostRecord,
     PressuresRecord,
     RecordKey,
@@ -58,6 +59,8 @@
         self._pressures: tuple[Pressure, ...] = ()
         self._crashes: list[TaskKey] = []
         self._orphaned_crashes: list[str] = []
+        # True for a cancellation to store again, False for one to delete.
+        self._cancellations: dict[str, bool] = {}
         self._checkpoints_flushed_at = timedelta()
 
     def __bool__(self) -> bool:
@@ -68,6 +71,7 @@
             or self._pressures
             or self._crashes
             or self._orphaned_crashes
+            or self._cancellations
         )
 
     def mark_job(self, job_id: str) -> None:
@@ -98,6 +102,10 @@
         """Record that the crashes of a job are the last of its records."""
         self._orphaned_crashes.append(job_id)
 
+    def mark_cancellation(self, job_id: str, present: bool) -> None:
+        """Record that a cancellation without a job is to be stored or deleted."""
+        self._cancellations[job_id] = present
+
     def mark_expired(self, job_id: str) -> None:
         """Record that all records of a job are to be deleted."""
         self._expired.append(job_id)
@@ -137,6 +145,11 @@
                 records.append(LogChange(_build_crashes_key(job_id), value))
         for job_id in self._orphaned_crashes:
             records.append(LogChange(_build_crashes_key(job_id), b""))
+        for job_id, present in self._cancellations.items():
+            if job_id not in jobs:
+                key = RecordKey(RecordKind.CANCELLATION, job_id)
+                records.append(LogChange(key, CANCELLATION_VALUE if present else b""))
+        self._cancellations.clear()
         if self._pressures:
             value = encode_record(PressuresRecord(self._pressures))
             records.append(LogChange(PRESSURES_KEY, value))
--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -108,6 +108,8 @@
         return f"{self.kind}/{self.name}"
 
 
+CANCELLATION_VALUE = b"1"
+
 Record = (
     JobDefinition
     | ProgressRecord
--- a/src/egretcrank/scheduling/settings.py
+++ b/src/egretcrank/scheduling/settings.py
@@ -9,8 +9,9 @@
     """Lease and retention times of the cell.
 
     ``lease`` is the longest time between a confirmation of leadership and the expiry of
-    the last lease granted on it. ``keep_ended`` is how long an ended job is kept, and
-    ``due_tolerance`` how early a repetition is added.
+    the last lease granted on it. ``keep_ended`` is how long an ended job is kept, and a
+    cancellation that has met no job; ``due_tolerance`` is how early a repetition is
+    added.
     """
 
     lease: timedelta = timedelta(seconds=6)
--- a/src/egretcrank/settings/platform.py
+++ b/src/egretcrank/settings/platform.py
@@ -65,7 +65,7 @@
     )
     keep_ended_seconds: timedelta = setting(
         Kind.SECONDS,
-        "Retention time of the state of an ended job.",
+        "Retention time of an ended job, and of a cancellation without a job.",
         timedelta(seconds=120),
         required=True,
     )
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -3,17 +3,23 @@
 from datetime import timedelta
 from itertools import permutations
 from typing import Any
+from unittest.mock import patch
 
 from returns.result import Failure, Success
 
 from egretcrank.controller.service import MAX_VIEW_AGE, JobService, JobState
 from egretcrank.controller.submissions import Submissions
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.observability.metrics import Metrics
+from egretcrank.scheduling import cell as cell_module
+from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.definitions import JobDefinition
 from egretcrank.scheduling.records import Phase, ProgressRecord, encode_record
+from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.table import JobTable, StoredValue
+from tests import cell_world
 from tests.cases import AsyncTestCase, ManualClock
-from tests.cell_world import QUEUE, build_step
+from tests.cell_world import QUEUE, World, build_step
 from tests.test_platform import FakeTail, build_store
 
 JOB_ID = "00112233445566aa"
@@ -218,3 +224,242 @@
         (job_id, entry.definition, entry.cancelled, entry.progress)
         for job_id, entry in table.jobs.items()
     ]
+
+
+RETENTION = timedelta(seconds=5)
+# Time in which a leader of the simulation reads a cancellation and stops ordering.
+REACTION = timedelta(milliseconds=300)
+SEEDS = range(12)
+
+
+def list_newest(world: World) -> dict[str, bytes]:
+    """Return the newest value of each key of the log that is not deleted."""
+    newest = {record.key: record.value for record in world.log.records}
+    return {key: value for key, value in newest.items() if value}
+
+
+def append_job(world: World, job_id: str) -> None:
+    """Append the record of a job, which may be on the log already."""
+    value = encode_record(build_definition(job_id))
+    assert world.log.append([(f"j/{job_id}", value)], None)
+
+
+def cancel(world: World, job_id: str) -> None:
+    """Append a cancellation, as it is stored before it is answered."""
+    world.cancel(job_id)
+
+
+def find_started(world: World) -> set[str]:
+    """Return the jobs of which a task was started."""
+    return {task.partition(".")[0] for task, _, _ in world.starts}
+
+
+class LeaderTests(AsyncTestCase):
+    """Records of jobs that reach the leader after their cancellation."""
+
+    def test_a_job_whose_record_comes_later_never_starts(self):
+        """Guards against tasks of a job whose cancellation was answered before."""
+        world = World(1)
+        world.cancel(JOB_ID)
+        world.run(1)
+        append_job(world, JOB_ID)
+        other = world.submit()
+        world.run(5)
+        self.assertEqual(find_started(world), {other})
+        self.assertEqual(world.find_phase(JOB_ID), Phase.CANCELLED)
+
+    def test_a_leader_elected_in_between_never_starts_the_job(self):
+        """Guards against a cancellation that a change of the leader undoes."""
+        for both_before in (False, True):
+            world = World(2)
+            world.cancel(JOB_ID)
+            if both_before:
+                append_job(world, JOB_ID)
+            world.elect()
+            if not both_before:
+                append_job(world, JOB_ID)
+            other = world.submit()
+            world.run(10)
+            self.assertEqual(find_started(world), {other})
+            self.assertEqual(world.find_phase(JOB_ID), Phase.CANCELLED)
+
+    def test_a_cold_start_reads_job_and_cancellation_in_any_order(self):
+        """Guards against a new leader that starts what is cancelled on the log."""
+        records = [
+            StoredValue(3, JOB_KEY, JOB_VALUE),
+            StoredValue(2, CANCELLATION_KEY, b"1"),
+            StoredValue(2, "l/0", b""),
+        ]
+        for order in permutations(records):
+            table = JobTable()
+            for stored in order:
+                table.apply(stored)
+            cell = Cell(CellSettings(), ManualClock(), table, 1, Metrics())
+            cell.open(4, timedelta())
+            self.assertEqual(cell.jobs[JOB_ID].phase, Phase.CANCELLED)
+            self.assertEqual(cell._open_jobs, {})
+
+    def test_no_order_of_records_and_leaders_starts_a_cancelled_job(self):
+        """Guards against starts behind an answered cancellation.
+
+        Records of jobs and cancellations come in random order and more than once.
+        """
+        for seed in SEEDS:
+            world = World(seed)
+            random = world.random
+            jobs = [f"{number:016x}" for number in range(12)]
+            events = [(append_job, job) for job in jobs * 2]
+            events += [(cancel, job) for job in jobs[:8] * 2]
+            random.shuffle(events)
+            cancelled: dict[str, timedelta] = {}
+            for event, job in events:
+                event(world, job)
+                if event is cancel:
+                    cancelled.setdefault(job, world.now())
+                if random.random() < 0.1:
+                    world.leader.fenced = random.random() < 0.5
+                    world.elect()
+                for _ in range(random.randrange(4)):
+                    self._step(world, cancelled, seed)
+            for _ in range(300):
+                self._step(world, cancelled, seed)
+            self.assertEqual(world.violations, [], f"seed {seed}")
+            for job in jobs:
+                phase = world.find_phase(job)
+                self.assertTrue(phase.final, f"seed {seed}")
+                if job in jobs[8:]:
+                    self.assertEqual(phase, Phase.COMPLETED, f"seed {seed}")
+
+    def _step(self, world: World, cancelled: dict[str, timedelta], seed: int) -> None:
+        before = len(world.starts)
+        now = world.now()
+        world.step()
+        for task, _, _ in world.starts[before:]:
+            at = cancelled.get(task.partition(".")[0], timedelta.max)
+            self.assertLess(now - REACTION, at, f"seed {seed}: {task}")
+
+
+class RetentionTests(AsyncTestCase):
+    """Cancellations that meet no job."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        settings = CellSettings(keep_ended=RETENTION)
+        patcher = patch.object(cell_world, "SETTINGS", settings)
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.world = World(3)
+
+    def test_a_cancellation_without_a_job_is_deleted_after_the_retention_time(self):
+        """Guards against a log and a memory that cancellations of nothing fill."""
+        self.world.cancel(JOB_ID)
+        self.world.run(RETENTION.total_seconds() - 0.5)
+        self.assertIn(CANCELLATION_KEY, list_newest(self.world))
+        self.world.run(1)
+        self.assertNotIn(CANCELLATION_KEY, list_newest(self.world))
+        self.assertEqual(self.world.leader.table.jobs, {})
+        length = len(self.world.log.records)
+        self.world.run(2 * RETENTION.total_seconds())
+        self.assertEqual(len(self.world.log.records), length)
+
+    def test_a_new_leader_counts_from_when_it_read_the_cancellation(self):
+        """Guards against a cancellation that is deleted before its job comes."""
+        self.world.cancel(JOB_ID)
+        self.world.run(RETENTION.total_seconds() - 0.5)
+        self.world.elect()
+        self.world.run(RETENTION.total_seconds() - 0.5)
+        self.assertIn(CANCELLATION_KEY, list_newest(self.world))
+        self.world.run(1)
+        self.assertNotIn(CANCELLATION_KEY, list_newest(self.world))
+
+    def test_a_repeated_cancellation_is_kept_for_its_own_time(self):
+        """Guards against a job that starts soon after its second cancellation."""
+        self.world.cancel(JOB_ID)
+        self.world.run(RETENTION.total_seconds() - 0.5)
+        self.world.cancel(JOB_ID)
+        self.world.run(RETENTION.total_seconds() - 0.5)
+        append_job(self.world, JOB_ID)
+        self.world.run(2)
+        self.assertEqual(self.world.starts, [])
+
+    def test_a_repeated_cancellation_does_not_hold_up_the_deletion_of_others(self):
+        """Guards against one caller that keeps the cancellations of all on the log."""
+        jobs = [f"{number:016x}" for number in range(2)]
+        for job in jobs:
+            self.world.cancel(job)
+        self.world.run(RETENTION.total_seconds() - 0.5)
+        self.world.cancel(jobs[0])
+        self.world.run(1)
+        kept = {key for key in list_newest(self.world) if key.startswith("c/")}
+        self.assertEqual(kept, {f"c/{jobs[0]}"})
+
+    def test_a_job_that_met_its_cancellation_expires_with_it(self):
+        """Guards against records of a cancelled job that stay on the log."""
+        self.world.cancel(JOB_ID)
+        self.world.run(1)
+        append_job(self.world, JOB_ID)
+        self.world.run(RETENTION.total_seconds() + 1)
+        names = {key.partition("/")[2] for key in list_newest(self.world)}
+        self.assertNotIn(JOB_ID, names)
+        leader = self.world.leader
+        assert leader.cell is not None
+        self.assertEqual((leader.table.jobs, leader.cell.jobs), ({}, {}))
+        length = len(self.world.log.records)
+        self.world.run(2 * RETENTION.total_seconds())
+        self.assertEqual(len(self.world.log.records), length)
+
+    def _decide_deletion(self) -> None:
+        """Let the leader decide to delete a cancellation, but not append that yet."""
+        self.world.cancel(JOB_ID)
+        self.world.step()
+        self.world.clock.advance(RETENTION + cell_world.TICK)
+        cell = self.world.leader.cell
+        assert cell is not None
+        cell.process_timeouts()
+        self.assertTrue(cell.has_changes)
+
+    def test_a_job_that_comes_just_before_the_deletion_never_starts(self):
+        """Guards against a late job that a deletion on its way revives."""
+        for read_first in (False, True):
+            self.world = World(3)
+            self._decide_deletion()
+            append_job(self.world, JOB_ID)
+            if read_first:
+                self.world.leader.catch_up()
+            self.world.leader.commit()
+            is_kept = CANCELLATION_KEY in list_newest(self.world)
+            self.assertEqual(is_kept, read_first)
+            self.world.run(1)
+            self.world.elect()
+            self.world.run(2)
+            self.assertEqual(self.world.starts, [])
+            self.assertEqual(self.world.find_phase(JOB_ID), Phase.CANCELLED)
+
+    def test_a_cancellation_stored_just_before_the_deletion_of_one_is_kept(self):
+        """Guards against the loss of a cancellation that was just answered."""
+        for is_job_next in (False, True):
+            self.world = World(3)
+            self._decide_deletion()
+            self.world.cancel(JOB_ID)
+            self.world.leader.commit()
+            if is_job_next:
+                append_job(self.world, JOB_ID)
+            self.world.run(1)
+            self.world.elect()
+            if not is_job_next:
+                self.assertIn(CANCELLATION_KEY, list_newest(self.world))
+                append_job(self.world, JOB_ID)
+            self.world.run(3)
+            self.assertEqual(self.world.starts, [])
+            self.assertEqual(self.world.find_phase(JOB_ID), Phase.CANCELLED)
+
+    def test_the_oldest_of_too_many_cancellations_are_deleted_early(self):
+        """Guards against a log and a memory that one caller fills."""
+        jobs = [f"{number:016x}" for number in range(5)]
+        with patch.object(cell_module, "MAX_UNMET_CANCELLATIONS", 3):
+            for job in jobs:
+                self.world.cancel(job)
+                self.world.step()
+            self.world.run(1)
+        kept = {key for key in list_newest(self.world) if key.startswith("c/")}
+        self.assertEqual(kept, {f"c/{job}" for job in jobs[2:]})
