Test what callers are told of records that are still on their way

A caller whose record the leader may still append is answered with 504, not 503; nothing is queued for one that was refused; an append that a stopped leader leaves open counts as unknown. A cancellation survives a lost answer and a fenced leader, and a new leader has read those before its fence although its first page is older.

--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -1,5 +1,6 @@
 """Tests of cancellations that are stored before the record of their job is read."""
 
+import threading
 from datetime import timedelta
 from itertools import permutations
 from typing import Any
@@ -7,10 +8,14 @@
 
 from returns.result import Failure, Success
 
+from egretcrank.clock import SystemClock
 from egretcrank.controller.service import MAX_VIEW_AGE, JobService, JobState
 from egretcrank.controller.submissions import Submissions
+from egretcrank.controller.tail import Tail
+from egretcrank.errors.answers import ANSWERS
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.observability.metrics import Metrics
+from egretcrank.platform.store import LogPage
 from egretcrank.scheduling import cell as cell_module
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.definitions import JobDefinition
@@ -21,6 +26,7 @@
 from tests.cases import AsyncTestCase, ManualClock
 from tests.cell_world import QUEUE, World, build_step
 from tests.test_platform import FakeTail, build_store
+from tests.test_submissions import FENCED, build_committer
 
 JOB_ID = "00112233445566aa"
 STORED = (200, b'{"offset":0,"end":1}')
@@ -35,28 +41,36 @@
     return JobDefinition(job_id, QUEUE, "spec", (build_step(),), ManualClock().now())
 
 
+def decode_appended(client: Any) -> list[tuple[str, bytes]]:
+    """Return the key and value of the only record of each append that has one."""
+    records = [body[4:] for _, _, body in client.calls if body]
+    return [(r[1 : 1 + r[0]].decode(), r[1 + r[0] :]) for r in records]
+
+
 class ServiceCase(AsyncTestCase):
     """Job service whose tail and log a test controls."""
 
     def setUp(self) -> None:
         super().setUp()
-        self.clock = ManualClock()
+        self.clock: Any = ManualClock()
         self.table = JobTable()
         self.tail: Any = FakeTail()
         self.store: Any = None
+        self.submissions: Any = None
         self.offset = 0
 
     def build(self, *responses: Any) -> JobService:
         """Build a service over a store with scripted responses."""
-        submissions = Submissions("c", "127.0.0.1:1", self.clock)
-        submissions.mark_leader_alive()
+        self.submissions = Submissions("c", "127.0.0.1:1", self.clock)
+        self.submissions.mark_leader_alive()
         self.store = build_store(*responses)
-        return JobService(self.store, self.clock, self.table, self.tail, submissions)
+        return JobService(
+            self.store, self.clock, self.table, self.tail, self.submissions
+        )
 
     def list_appended(self) -> list[tuple[str, bytes]]:
         """Return the key and value of each record that was sent to the log."""
-        records = [body[4:] for _, _, body in self.store._client.calls]
-        return [(r[1 : 1 + r[0]].decode(), r[1 + r[0] :]) for r in records]
+        return decode_appended(self.store._client)
 
     def read(self, *records: tuple[str, bytes]) -> None:
         """Let the controller read records of the log."""
@@ -149,6 +163,82 @@
         self.assertEqual(service.submit(build_definition(), SHORT), result)
 
 
+class OutcomeTests(ServiceCase):
+    """What callers are told of records that the leader or the log may still store."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.clock = SystemClock()
+
+    def test_a_record_that_the_leader_may_still_append_is_not_called_refused(self):
+        """Guards against a 503 for a record that is stored seconds later.
+
+        It stays in the leader's queue after its caller was answered with 504.
+        """
+        for method, key in (("submit", f"j/{JOB_ID}"), ("cancel", f"c/{JOB_ID}")):
+            service = self.build(REFUSED)
+            committer, caller = build_committer(STORED, FENCED)
+            self.submissions.set_committer(committer)
+            argument = build_definition() if method == "submit" else JOB_ID
+            problem = getattr(service, method)(argument, SHORT).failure()
+            self.assertEqual(ANSWERS[problem.kind].status, 504)
+            committer.run()
+            self.assertEqual([k for k, _ in decode_appended(caller)], [key])
+
+    def test_nothing_is_queued_for_a_caller_that_was_refused(self):
+        """Guards against a job that runs though its caller was told that it never will.
+
+        The next leader must not find the record.
+        """
+        service = self.build(REFUSED, REFUSED)
+        for result in (
+            service.submit(build_definition(), SHORT),
+            service.cancel(JOB_ID, SHORT),
+        ):
+            self.assertEqual(ANSWERS[result.failure().kind].status, 503)
+        committer, caller = build_committer(STORED, FENCED)
+        self.submissions.set_committer(committer)
+        committer.run()
+        self.assertEqual(decode_appended(caller), [])
+
+    def test_an_append_that_a_stopped_leader_leaves_open_is_not_called_refused(self):
+        """Guards against a 503 for a record of which the log's answer was lost."""
+        service = self.build(*[REFUSED] * 5)
+        committer, caller = build_committer(LOST)
+        self.submissions.set_committer(committer)
+        call = caller.call
+
+        def stop_meanwhile(*args: Any, **options: Any) -> Any:
+            committer.stop()
+            return call(*args, **options)
+
+        caller.call = stop_meanwhile
+        thread = threading.Thread(target=committer.run)
+        thread.start()
+        problem = service.cancel(JOB_ID, timedelta(milliseconds=500)).failure()
+        thread.join()
+        self.assertEqual(ANSWERS[problem.kind].status, 504)
+
+    def test_a_cancellation_that_a_fenced_leader_drops_is_stored_all_the_same(self):
+        """Guards against an answered cancellation that a change of the leader loses."""
+        service = self.build(STORED)
+        committer, _ = build_committer(FENCED)
+        self.submissions.set_committer(committer)
+        thread = threading.Thread(target=committer.run)
+        thread.start()
+        problem = service.cancel(JOB_ID, timedelta(seconds=1)).failure()
+        thread.join()
+        self.assertEqual(problem.kind, ErrorKind.UNKNOWN_JOB)
+        self.assertEqual(self.list_appended(), [(f"c/{JOB_ID}", b"1")])
+
+    def test_a_cancellation_whose_confirmation_is_lost_is_stored_again(self):
+        """Guards against a 410 on the word of an append without an answer."""
+        service = self.build(LOST, STORED)
+        problem = service.cancel(JOB_ID, timedelta(seconds=5)).failure()
+        self.assertEqual(problem.kind, ErrorKind.UNKNOWN_JOB)
+        self.assertEqual(self.list_appended(), [(f"c/{JOB_ID}", b"1")] * 2)
+
+
 JOB_KEY, CANCELLATION_KEY, PROGRESS_KEY = (f"{kind}/{JOB_ID}" for kind in "jcp")
 JOB_VALUE = encode_record(build_definition())
 CANCELLED_VALUE = encode_record(ProgressRecord(Phase.CANCELLED, 1.0))
@@ -463,3 +553,46 @@
             self.world.run(1)
         kept = {key for key in list_newest(self.world) if key.startswith("c/")}
         self.assertEqual(kept, {f"c/{job}" for job in jobs[2:]})
+
+
+class _CompactedStore:
+    """Log whose newest records were read before a cancellation and a fence."""
+
+    def __init__(self) -> None:
+        self.released = threading.Event()
+
+    def read_newest(self, _topic: str, _partition: int) -> Any:
+        return Success(LogPage(7, (StoredValue(3, JOB_KEY, JOB_VALUE),)))
+
+    def read(self, _topic: str, _partition: int, offset: int, _wait: timedelta) -> Any:
+        self.released.wait()
+        records = [StoredValue(7, CANCELLATION_KEY, b"1"), StoredValue(8, "l/0", b"")]
+        return Success(LogPage(9, tuple(r for r in records if r.offset >= offset)))
+
+
+class CatchUpTests(AsyncTestCase):
+    """What a new leader has read when it begins to act."""
+
+    def test_a_leader_has_read_the_cancellations_before_its_fence(self):
+        """Guards against a new leader that starts a job from an old page of records."""
+        store: Any = _CompactedStore()
+        table = JobTable()
+
+        def apply(records: tuple[StoredValue, ...]) -> None:
+            for stored in records:
+                table.apply(stored)
+
+        tail = Tail(store, "t", 0, ManualClock(), apply)
+        thread = threading.Thread(target=tail.run, daemon=True)
+        thread.start()
+        fence_end = 9
+        try:
+            self.assertFalse(tail.wait_for(fence_end, timedelta(milliseconds=100)))
+            self.assertFalse(table.is_cancelled(JOB_ID))
+            store.released.set()
+            self.assertTrue(tail.wait_for(fence_end, timedelta(seconds=20)))
+            self.assertTrue(table.is_cancelled(JOB_ID))
+        finally:
+            tail.stop()
+            store.released.set()
+            thread.join()
