Forget an expired job that a late record brought back

A leader that deletes an expired job reads its own deletions some time later. A record of the job that lay before them, such as a second cancellation, met the job in the table and none in the cell: the cell took it up again, as ended, and kept it for good, as the table no longer lists it. Nothing was started; the leader's memory grew. Such a job goes with its record now.

Evidence: test_a_cancellation_of_a_job_that_expires_leaves_nothing fails on the former cell.py (the job is left in the cell) and passes now.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -201,6 +201,7 @@
         """Apply the table entry of a job, or of a cancellation without a job."""
         entry = self._table.find(job_id)
         if entry is None or entry.definition is None:
+            self._forget_ended_job(job_id)
             self._track_cancellation(job_id)
             return
         was_cancelled = self._unmet_cancellations.pop(job_id, None) is not None
@@ -214,6 +215,12 @@
         elif entry.cancelled:
             self._end_job(job, Phase.CANCELLED, "cancelled by its caller")
 
+    def _forget_ended_job(self, job_id: str) -> None:
+        """Forget a job that a late record brought back while its deletion was sent."""
+        job = self.jobs.get(job_id)
+        if job is not None and job.phase.final:
+            del self.jobs[job_id]
+
     def _track_cancellation(self, job_id: str) -> None:
         """Keep the time of a cancellation that has met no job."""
         if self._table.is_cancelled(job_id):
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -498,6 +498,25 @@
         self.world.run(2 * RETENTION.total_seconds())
         self.assertEqual(len(self.world.log.records), length)
 
+    def test_a_cancellation_of_a_job_that_expires_leaves_nothing(self):
+        """Guards against ended jobs that stay in the memory of the leader."""
+        append_job(self.world, JOB_ID)
+        self.world.run(1)
+        self.world.cancel(JOB_ID)
+        self.world.run(0.5)
+        leader = self.world.leader
+        assert leader.cell is not None
+        self.world.clock.advance(RETENTION + cell_world.TICK)
+        leader.cell.process_timeouts()
+        self.assertEqual(leader.cell.jobs, {})
+        self.world.cancel(JOB_ID)
+        leader.commit()
+        leader.catch_up()
+        self.world.run(1)
+        self.assertEqual((leader.table.jobs, leader.cell.jobs), ({}, {}))
+        names = {key.partition("/")[2] for key in list_newest(self.world)}
+        self.assertNotIn(JOB_ID, names)
+
     def _decide_deletion(self) -> None:
         """Let the leader decide to delete a cancellation, but not append that yet."""
         self.world.cancel(JOB_ID)
