Count waiting jobs while the log is read

`JobTable.count_waiting` went through the entries on a caller's thread while the thread of the tail added some: "dictionary changed size during iteration", which the ingress answers with 500. Cancellations that have met no job add entries, too. It goes through a copy of the entries now, which is made in one step.

Evidence: test_waiting_jobs_are_counted_while_records_are_read fails on the former table.py and passes now.

--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -216,9 +216,10 @@
 
     def count_waiting(self, queue: str) -> int:
         """Return the number of a queue's accepted jobs without a started task."""
+        # Copied, as the thread that reads the log adds entries meanwhile.
         return sum(
             1
-            for entry in self.jobs.values()
+            for entry in list(self.jobs.values())
             if entry.phase is Phase.QUEUED
             and entry.definition is not None
             and entry.definition.queue.name == queue
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -21,7 +21,7 @@
 from egretcrank.scheduling.definitions import JobDefinition
 from egretcrank.scheduling.records import Phase, ProgressRecord, encode_record
 from egretcrank.scheduling.settings import CellSettings
-from egretcrank.scheduling.table import JobTable, StoredValue
+from egretcrank.scheduling.table import JobEntry, JobTable, StoredValue
 from tests import cell_world
 from tests.cases import AsyncTestCase, ManualClock
 from tests.cell_world import QUEUE, World, build_step
@@ -308,6 +308,23 @@
             table.apply(StoredValue(20, key, value))
             self.assertEqual(_describe(table), _describe(expected))
 
+    def test_waiting_jobs_are_counted_while_records_are_read(self):
+        """Guards against a count that fails as a cancellation is read meanwhile."""
+        table = self.build((JOB_KEY, JOB_VALUE), (f"c/{'1' * 16}", b"1"))
+
+        class EntryReadMeanwhile(JobEntry):
+            __slots__ = ()
+
+            @property
+            def phase(self) -> Phase:
+                table.apply(StoredValue(9, f"c/{'2' * 16}", b"1"))
+                return super().phase
+
+        entry = table.find(JOB_ID)
+        assert entry is not None
+        entry.__class__ = EntryReadMeanwhile
+        self.assertEqual(table.count_waiting(QUEUE.name), 1)
+
 
 def _describe(table: JobTable) -> list[tuple[Any, ...]]:
     return [
