--- a/src/egretcrank/scheduling/settings.py
+++ b/src/egretcrank/scheduling/settings.py
@@ -11,8 +11,8 @@
     ``lease`` is the longest time between a confirmation of leadership and the expiry of
     the last lease granted on it. ``cancellation_bound`` is the longest time between the
     acknowledgement of a cancellation and the last start of a task of its job.
-    ``keep_ended`` is how long an ended job is kept, and
-    ``due_tolerance`` how early a repetition is added.
+    ``keep_ended`` is how long an ended job is kept, and a cancellation that has met no
+    job; ``due_tolerance`` is how early a repetition is added.
     """
 
     lease: timedelta = timedelta(seconds=6)
