Refuse deeply nested JSON bodies as invalid messages

Cause: msgspec raises RecursionError, which is no MsgspecError, for a body that is nested 100,000 deep, even within a field that the type lacks. decode_body passed it on to its callers.

Seen: callers got status 500 instead of 400 for such a job, the heartbeat server of an agent failed, and an odd configuration, page or list of a runner raised in the thread that follows it, which reread the same input every 200 ms.

decode_body now returns an invalid_message problem that names the body and the type, so that each caller does what it does for other malformed bodies.

--- a/src/egretcrank/platform/calls.py
+++ b/src/egretcrank/platform/calls.py
@@ -83,11 +83,12 @@
     """Decode a JSON body; one that does not match the type is ``invalid_message``."""
     try:
         return Success(msgspec.json.decode(body, type=body_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         return Failure(
             Problem(
                 ErrorKind.INVALID_MESSAGE,
                 f"body could not be decoded: {error}",
-                expected=f"the fields of {body_type.__name__}",
+                "body",
+                f"the fields of {body_type.__name__}",
             )
         )
