Bound the values of heartbeats by their meaning

Cause: heartbeats with numbers beyond 64 bits, ports out of range, addresses without a port, or any amount of text were accepted with 200. Reports to the leader, encoded as MessagePack, raise OverflowError for such a number; the id in the path is sent back to the runner in a header, where a line break raises ValueError.

Seen: one odd heartbeat with a too large capacity makes each report of the agent fail until a valid one follows, and with a too large sequence number all later ones are old and ignored, so the leader counts the host as lost or uses a wrong description. An id with a line break makes each poll of the runner raise.

A trial of Runner.poll with the id "a\r\nb" raises ValueError.

The types of platform/bounds.py check each number once, when a heartbeat is decoded: counts up to 2**62 can be counted on within 64 bits, clocks and durations stay within what timedelta holds, and addresses have a port from 1 to 65535. A body over 64 KiB is answered with 413.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -22,7 +22,11 @@
 from egretcrank.observability.exposition import serve_metrics
 from egretcrank.observability.logs import flush_logs
 from egretcrank.observability.metrics import Metrics
-from egretcrank.platform.heartbeats import Heartbeat, HeartbeatEndpoint
+from egretcrank.platform.heartbeats import (
+    MAX_HEARTBEAT_BYTES,
+    Heartbeat,
+    HeartbeatEndpoint,
+)
 from egretcrank.platform.runner import (
     POLL_MARGIN,
     CommandResult,
@@ -108,6 +112,7 @@
             numthreads=HEARTBEAT_THREADS,
             max=HEARTBEAT_THREADS,
         )
+        self._heartbeats.max_request_body_size = MAX_HEARTBEAT_BYTES
 
     def run(self) -> None:
         """Run until SIGTERM or SIGINT.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,24 +7,57 @@
 import msgspec
 from returns.result import Success
 
+from egretcrank.agent.pace import PaceController
+from egretcrank.agent.state import AgentState, Identity
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.observability.metrics import Metrics
+from egretcrank.platform.bounds import MAX_DURATION_MILLISECONDS
 from egretcrank.platform.calls import Response
-from egretcrank.platform.heartbeats import Heartbeat, HeartbeatEndpoint
+from egretcrank.platform.heartbeats import (
+    MAX_HEARTBEAT_BYTES,
+    Heartbeat,
+    HeartbeatEndpoint,
+)
 from egretcrank.platform.ingress import Ingress
 from egretcrank.platform.manifest import parse_manifest
 from egretcrank.platform.runner import Runner
 from egretcrank.platform.store import Store
 from egretcrank.scheduling.table import JobTable
+from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
+from egretcrank.wire.hosting import HOSTING_CODEC
 from tests.cases import AsyncTestCase, ManualClock
 
 DEPTH = 100_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
+# Fits into the longest heartbeat.
+SHORT_NESTED = NESTED[DEPTH - 30_000 : DEPTH + 30_000]
+ODD_ADDRESSES = (
+    "",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1:65536",
+    "127.0.0.1:99999",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:abc",
+    "127.0.0.1:\u0661",
+    "[::1",
+    "[::g]:80",
+    "::1:80",
+    ":80",
+    "a b:80",
+    "a\0b:80",
+    "a\n:80",
+    "\xe4:80",
+    "a" * 300 + ":80",
+    "127.0.0.1:80/path",
+)
 JOB_PATH = "/x/00112233445566aa"
 ROUTE = {"name": "r", "host": "a.example", "path_prefix": "/x/", "service": "s"}
-HEARTBEAT = {
+HEARTBEAT: dict[str, Any] = {
     "service": "s",
     "address": "127.0.0.1:80",
     "zone": "z",
@@ -37,9 +70,9 @@
 }
 
 
-def insert_nested(document: dict[str, Any], name: str) -> bytes:
+def insert_nested(document: dict[str, Any], name: str, nested: bytes = NESTED) -> bytes:
     """Encode a document with one more field, which is nested deeply."""
-    return msgspec.json.encode({**document, name: msgspec.Raw(NESTED)})
+    return msgspec.json.encode({**document, name: msgspec.Raw(nested)})
 
 
 class Replies:
@@ -54,15 +87,15 @@
 
 def build_runner(body: bytes) -> Runner:
     """Build the client of a runner that returns the same body to each call."""
-    runner: Any = Runner("127.0.0.1:1")
-    runner._client = Replies(body)
+    runner = Runner("127.0.0.1:1")
+    vars(runner)["_client"] = Replies(body)
     return runner
 
 
 def build_store(body: bytes) -> Store:
     """Build the client of a store that returns the same body to each call."""
-    store: Any = Store("127.0.0.1:1")
-    store._client = Replies(body)
+    store = Store("127.0.0.1:1")
+    vars(store)["_client"] = Replies(body)
     return store
 
 
@@ -74,14 +107,14 @@
         self.heartbeats: list[Heartbeat] = []
         self.endpoint = HeartbeatEndpoint(self.heartbeats.append, lambda _: None)
 
-    def put(self, body: bytes, runner_id: str = "r") -> str:
+    def put(self, body: bytes, runner_id: str = "r", length: str | None = None) -> str:
         """Send a heartbeat and return the status of the answer."""
         statuses: list[str] = []
         environ = {
             "PATH_INFO": f"/-/instances/{runner_id}",
             "REQUEST_METHOD": "PUT",
-            "CONTENT_LENGTH": str(len(body)),
-            "wsgi.input": io.BytesIO(body),
+            "CONTENT_LENGTH": str(len(body)) if length is None else length,
+            "wsgi.input": None if length else io.BytesIO(body),
         }
         self.endpoint(environ, lambda status, _: statuses.append(status))
         return statuses[0]
@@ -126,10 +159,99 @@
 
     def test_a_nested_heartbeat_is_refused(self):
         """Guards against an error of the heartbeat server instead of a refusal."""
-        for body in (NESTED, insert_nested(HEARTBEAT, "odd")):
+        for body in (SHORT_NESTED, insert_nested(HEARTBEAT, "odd", SHORT_NESTED)):
             self.assertEqual(self.put(body), "400 Bad Request")
+        self.assertEqual(self.put(NESTED), "413 Content Too Large")
+        self.assertEqual(self.put(msgspec.json.encode(HEARTBEAT)), "200 OK")
+
+
+class OddHeartbeatTests(EndpointTestCase):
+    """Heartbeats with values out of range."""
+
+    def check_refused(self, **values: Any) -> None:
+        """Check that each value of a field is refused, and a valid neighbour is not."""
+        for name, odd in values.items():
+            for value in odd:
+                body = msgspec.json.encode({**HEARTBEAT, name: value})
+                self.assertEqual(self.put(body), "400 Bad Request", (name, value))
+        self.assertEqual(self.heartbeats, [])
         self.assertEqual(self.put(msgspec.json.encode(HEARTBEAT)), "200 OK")
 
+    def test_numbers_that_no_message_can_hold_are_refused(self):
+        """Guards against an agent whose reports to the leader can't be encoded."""
+        large = (2**63, 10**25, 10**40)
+        capacities = [
+            {**HEARTBEAT["capacity"], name: number}
+            for name in ("cpu", "mem_mb", "gpu")
+            for number in (*large, -1)
+        ]
+        self.check_refused(
+            born=(*large, 0, -1),
+            sequence=(*large, -1),
+            clock_ms=(*large, -1),
+            remaining_ms=(1e300, -1e300),
+            capacity=capacities,
+        )
+
+    def test_the_largest_accepted_numbers_can_be_reported(self):
+        """Guards against bounds above what a report to the leader can hold."""
+        body = {
+            **HEARTBEAT,
+            "born": MAX_INTEGER,
+            "sequence": MAX_COUNT,
+            "capacity": dict.fromkeys(("cpu", "mem_mb", "gpu"), MAX_INTEGER),
+            "remaining_ms": MAX_DURATION_MILLISECONDS,
+        }
+        self.assertEqual(self.put(msgspec.json.encode(body)), "200 OK")
+        state = AgentState(Identity("h", "h:1", "i"))
+        state.update_runner(self.heartbeats[0].runner, self.heartbeats[0].sequence)
+        state.born = MAX_INTEGER
+        report = state.build_report(timedelta(), PaceController())
+        self.assertIsNotNone(report.runner)
+        self.assertTrue(HOSTING_CODEC.encode(report, "", "h"))
+
+    def test_a_later_heartbeat_is_no_older_than_an_odd_one(self):
+        """Guards against an odd sequence number after which all others are old."""
+        state = AgentState(Identity("h", "h:1", "i"))
+        endpoint = HeartbeatEndpoint(
+            lambda h: self.accepted.append(state.update_runner(h.runner, h.sequence)),
+            lambda _: None,
+        )
+        self.accepted: list[bool] = []
+        self.endpoint = endpoint
+        for sequence in (1, 10**25, 2):
+            self.put(msgspec.json.encode({**HEARTBEAT, "sequence": sequence}))
+        self.assertEqual(self.accepted, [True, True])
+
+    def test_addresses_that_cannot_be_dialled_are_refused(self):
+        """Guards against a description of a runner that nothing can reach."""
+        self.check_refused(address=ODD_ADDRESSES)
+        for address in ("[::1]:80", "runner-1.zone_a:65535"):
+            body = msgspec.json.encode({**HEARTBEAT, "address": address})
+            self.assertEqual(self.put(body), "200 OK")
+
+    def test_a_long_heartbeat_is_refused(self):
+        """Guards against reports that are too long for the leader to receive."""
+        for odd in (
+            {"zone": "z" * 10**6},
+            {"labels": ["a"] * 10**5},
+            {"service": "s" * MAX_HEARTBEAT_BYTES},
+        ):
+            body = msgspec.json.encode({**HEARTBEAT, **odd})
+            self.assertEqual(self.put(body), "413 Content Too Large")
+        self.assertEqual(self.heartbeats, [])
+
+    def test_a_runner_id_that_no_header_can_hold_is_refused(self):
+        """Guards against polls that all raise as they name the runner in a header."""
+        body = msgspec.json.encode(HEARTBEAT)
+        for odd in ("", "a\r\nb", "a b", "\xe4", "a" * 10**5):
+            self.assertEqual(self.put(body, odd), "400 Bad Request", odd)
+        self.assertEqual(self.put(body), "200 OK")
+
+    def test_a_heartbeat_of_negative_length_is_refused(self):
+        """Guards against a thread that reads until its peer closes the connection."""
+        self.assertEqual(self.put(b"", length="-5"), "400 Bad Request")
+
 
 class NestedJobTests(CallerTestCase):
     """Jobs that are nested deeply."""
