Use the valid rows of a runner's list beside odd ones

Cause: a poll's reply was decoded as a whole. A value nested deeply, a number of more digits than Python parses or one like 1e999 in any row made the whole reply unusable; a run, number of an end, progress, birth or clock beyond 64 bits was accepted, and each report with it raised OverflowError, as did the arithmetic of the poll thread on such a clock.

Seen: the agent took its runner for silent, or its reports stopped, until the leader gave the host up and started its tasks elsewhere.

Rows and their values are decoded one by one. What nests deeper than 16 levels is cut to null first, in a body that cannot be decoded otherwise. An odd row is left out and logged; a run or an end whose details only are odd still counts.

--- a/src/egretcrank/platform/heartbeats.py
+++ b/src/egretcrank/platform/heartbeats.py
@@ -3,15 +3,21 @@
 import logging
 import re
 from collections.abc import Callable, Iterable
-from typing import Annotated, Any
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.platform.bounds import Clock, Count, DurationMilliseconds, Identifier
+from egretcrank.platform.bounds import (
+    Amount,
+    Clock,
+    Count,
+    DurationMilliseconds,
+    Identifier,
+)
 from egretcrank.platform.calls import decode_body
-from egretcrank.wire.bounds import MAX_INTEGER, is_address
+from egretcrank.wire.bounds import is_address
 from egretcrank.wire.hosting import RunnerInfo
 
 INSTANCES_PREFIX = "/-/instances/"
@@ -29,8 +35,6 @@
 
 logger = logging.getLogger(__name__)
 
-Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-
 
 class _Capacity(msgspec.Struct, frozen=True):
     cpu: Amount
--- /dev/null
+++ b/src/egretcrank/platform/rows.py
@@ -0,0 +1,91 @@
+"""Lists of rows in JSON bodies, of which other writers may have left odd ones."""
+
+import logging
+import re
+from collections.abc import Sequence
+from typing import TypeVar
+
+import msgspec
+from returns.result import Result, Success
+
+from egretcrank.errors.kinds import Problem
+from egretcrank.platform.calls import decode_body
+
+# Lists of rows nest three levels deep.
+MAX_LIST_DEPTH = 16
+# Rows of one list that a log line shows, and their length there.
+MAX_LOGGED_ROWS = 3
+MAX_LOGGED_CHARACTERS = 80
+
+BodyT = TypeVar("BodyT")
+CellT = TypeVar("CellT")
+
+_NESTING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{}]', re.DOTALL)
+_cells_decoder = msgspec.json.Decoder(list[msgspec.Raw])
+
+logger = logging.getLogger(__name__)
+
+
+def decode_list_body(body: bytes, body_type: type[BodyT]) -> Result[BodyT, Problem]:
+    """Decode a JSON body with lists whose rows are of type ``msgspec.Raw``.
+
+    What is nested too deeply becomes null, so that the other rows can be used.
+    """
+    try:
+        return Success(msgspec.json.decode(body, type=body_type))
+    except RecursionError:
+        return decode_body(_cut_nested(body), body_type)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_body(body, body_type)
+
+
+def _cut_nested(body: bytes) -> bytes:
+    pieces = []
+    depth = position = 0
+    for match in _NESTING.finditer(body):
+        if match[0] in (b"[", b"{"):
+            if depth == MAX_LIST_DEPTH:
+                pieces += [body[position : match.start()], b"null"]
+            depth += 1
+        elif match[0] in (b"]", b"}"):
+            depth -= 1
+            if depth == MAX_LIST_DEPTH:
+                position = match.end()
+    # The rest of a body whose last value has no end is left out.
+    if depth <= MAX_LIST_DEPTH:
+        pieces.append(body[position:])
+    return b"".join(pieces)
+
+
+def decode_cell(
+    cell: msgspec.Raw | bytes, decoder: msgspec.json.Decoder[CellT], default: CellT
+) -> CellT:
+    """Decode one value of a row; an invalid one becomes the default."""
+    try:
+        return decoder.decode(cell)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return default
+
+
+def decode_cells(row: msgspec.Raw) -> list[msgspec.Raw]:
+    """Return the undecoded values of a row, none if it is not a list."""
+    return decode_cell(row, _cells_decoder, [])
+
+
+def log_refused_rows(where: str, rows: Sequence[msgspec.Raw], expected: str) -> None:
+    """Log the rows of a list that are not used, if there are any."""
+    if not rows:
+        return
+    shown = [
+        bytes(row)[:MAX_LOGGED_CHARACTERS].decode("utf-8", "replace")
+        for row in rows[:MAX_LOGGED_ROWS]
+    ]
+    logger.warning(
+        "rows refused",
+        extra={
+            "where": where,
+            "rows": len(rows),
+            "first": shown,
+            "expected": expected,
+        },
+    )
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -1,13 +1,29 @@
 """Client for the runner on the agent's machine."""
 
+from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.platform.bounds import (
+    Amount,
+    Checkpoint,
+    Clock,
+    Count,
+    Measurement,
+    Name,
+    Percent,
+)
 from egretcrank.platform.calls import HttpClient, Response, decode_body
+from egretcrank.platform.rows import (
+    decode_cell,
+    decode_cells,
+    decode_list_body,
+    log_refused_rows,
+)
 from egretcrank.wire.hosting import EndedTask, RunningTask, StartOrder
 
 # A local call takes about 1 ms, and up to 100 ms on a throttled machine.
@@ -19,6 +35,14 @@
 MAX_LISTED_ENDS = 500
 INSTANCE_HEADER = "Egretcrank-Expected-Instance"
 
+RowT = TypeVar("RowT")
+
+_name_decoder: msgspec.json.Decoder[str] = msgspec.json.Decoder(Name)
+_count_decoder: msgspec.json.Decoder[int] = msgspec.json.Decoder(Count)
+_checkpoint_decoder: msgspec.json.Decoder[str] = msgspec.json.Decoder(Checkpoint)
+_percent_decoder: msgspec.json.Decoder[float] = msgspec.json.Decoder(Percent)
+_measurement_decoder: msgspec.json.Decoder[float] = msgspec.json.Decoder(Measurement)
+
 
 class CommandResult(NamedTuple):
     """Result of a command; ``refusal`` is empty if the runner accepted it.
@@ -49,10 +73,10 @@
 
 
 class _ListBody(msgspec.Struct):
-    clock_ms: int
-    running: list[list[Any]] = []
-    ended: list[list[Any]] = []
-    born: int = 0
+    clock_ms: Clock
+    running: list[msgspec.Raw] = []
+    ended: list[msgspec.Raw] = []
+    born: Amount = 0
 
 
 class Runner:
@@ -165,7 +189,7 @@
                 ErrorKind.UNREACHABLE, f"unexpected status {response.status}", "runner"
             )
         )
-    return decode_body(response.body, _ListBody).bind(_build_snapshot)
+    return decode_list_body(response.body, _ListBody).bind(_build_snapshot)
 
 
 def _build_snapshot(body: _ListBody) -> Result[RunnerSnapshot, Problem]:
@@ -175,35 +199,60 @@
             ErrorKind.INVALID_MESSAGE, "born is missing", "runner", "a positive integer"
         )
         return Failure(problem)
-    running = [_parse_running(row) for row in body.running]
-    ended = [_parse_ended(row) for row in body.ended]
     snapshot = RunnerSnapshot(
         body.clock_ms,
         body.born,
-        tuple(task for task in running if task is not None),
-        tuple(task for task in ended if task is not None),
-        len(ended) >= MAX_LISTED_ENDS,
+        _parse_rows(body.running, _parse_running, "running"),
+        _parse_rows(body.ended, _parse_ended, "ended"),
+        len(body.ended) >= MAX_LISTED_ENDS,
     )
     return Success(snapshot)
 
 
-def _parse_running(row: list[Any]) -> RunningTask | None:
+def _parse_rows(
+    rows: Iterable[msgspec.Raw],
+    parse: Callable[[list[msgspec.Raw]], RowT | None],
+    where: str,
+) -> tuple[RowT, ...]:
+    parsed = []
+    refused = []
+    for row in rows:
+        value = parse(decode_cells(row))
+        if value is None:
+            refused.append(row)
+        else:
+            parsed.append(value)
+    log_refused_rows(where, refused, "a task and the number of its run")
+    return tuple(parsed)
+
+
+def _parse_running(cells: list[msgspec.Raw]) -> RunningTask | None:
     """Return the run of a row; a run whose details are invalid still goes on."""
-    match row:
-        case [str(task), int(run), *details]:
-            checkpoint, progress, measurement, *_ = [*details, None, None, None]
-            return RunningTask(
-                task,
-                run,
-                checkpoint if isinstance(checkpoint, str) else "",
-                int(progress) if isinstance(progress, int | float) else 0,
-                float(measurement) if isinstance(measurement, int | float) else 0.0,
-            )
-    return None
+    if len(cells) < 2:
+        return None
+    task = decode_cell(cells[0], _name_decoder, "")
+    run = decode_cell(cells[1], _count_decoder, -1)
+    if not task or run < 0:
+        return None
+    checkpoint, progress, measurement, *_ = [*cells[2:], b"", b"", b""]
+    return RunningTask(
+        task,
+        run,
+        decode_cell(checkpoint, _checkpoint_decoder, ""),
+        int(decode_cell(progress, _percent_decoder, 0.0)),
+        decode_cell(measurement, _measurement_decoder, 0.0),
+    )
 
 
-def _parse_ended(row: list[Any]) -> EndedTask | None:
-    match row:
-        case [int(number), str(task), int(run), str(outcome), str(checkpoint), *_]:
-            return EndedTask(number, task, run, outcome, checkpoint)
-    return None
+def _parse_ended(cells: list[msgspec.Raw]) -> EndedTask | None:
+    """Return the end of a row; a run whose checkpoint is invalid has still ended."""
+    if len(cells) < 5:
+        return None
+    number = decode_cell(cells[0], _count_decoder, -1)
+    task = decode_cell(cells[1], _name_decoder, "")
+    run = decode_cell(cells[2], _count_decoder, -1)
+    outcome = decode_cell(cells[3], _name_decoder, "")
+    if number < 0 or not task or run < 0 or not outcome:
+        return None
+    checkpoint = decode_cell(cells[4], _checkpoint_decoder, "")
+    return EndedTask(number, task, run, outcome, checkpoint)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -26,7 +26,12 @@
 from egretcrank.platform.store import Store
 from egretcrank.scheduling.table import JobTable
 from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
-from egretcrank.wire.hosting import HOSTING_CODEC
+from egretcrank.wire.hosting import (
+    HOSTING_CODEC,
+    EndedTask,
+    HostReport,
+    RunningTask,
+)
 from tests.cases import AsyncTestCase, ManualClock
 
 DEPTH = 100_000
@@ -284,3 +289,108 @@
         # The records may be on the log.
         appended = build_store(body).append("t", 0, [b"x"])
         self.assertEqual(appended.failure().kind, ErrorKind.CALL_TIMEOUT)
+
+
+class RunnerListTests(AsyncTestCase):
+    """Odd rows among those of a runner's lists."""
+
+    def poll(self, running: bytes = b"", ended: bytes = b"", clock: int = 5) -> Any:
+        """Return the reply to a poll of a runner that lists these rows."""
+        body = b'{"clock_ms":%d,"born":1,"running":[%s],"ended":[%s]}'
+        body %= (clock, running, ended)
+        return build_runner(body).poll(None, 1, 0, timedelta())
+
+    def check_running(self, odd: bytes, expected: list[RunningTask]) -> None:
+        """Check what an odd row leaves of a list, and that it can be reported."""
+        valid = b'["v.0.0.0",1,"c",41,900]'
+        snapshot = self.poll(b",".join((valid, odd, valid))).unwrap()
+        neighbour = RunningTask("v.0.0.0", 1, "c", 41, 900.0)
+        found = list(snapshot.running)
+        self.assertEqual(found, [neighbour, *expected, neighbour], odd[:40])
+        self.assertTrue(
+            HOSTING_CODEC.encode(HostReport(running=snapshot.running), "", "")
+        )
+
+    def test_an_odd_row_leaves_its_neighbours_in_use(self):
+        """Guards against a host that is lost as one row of its runner is odd."""
+        for odd in (
+            NESTED,
+            b'{"a":' + NESTED + b"}",
+            b"[" + NESTED + b",1]",
+            b'["o.0.0.0",' + NESTED + b"]",
+            b'["o.0.0.0",1e999]',
+            b'["o.0.0.0",' + b"9" * 5000 + b"]",
+            b'["o.0.0.0",%d]' % 10**25,
+            b'["o.0.0.0",-1]',
+            b'["' + b"o" * 10**6 + b'",1]',
+            b'["\\"[[[",true]',
+            b"null",
+            b"7",
+            b"{}",
+        ):
+            self.check_running(odd, [])
+
+    def test_a_run_with_an_odd_detail_is_still_listed(self):
+        """Guards against a second run of a task as a detail of its row is odd."""
+        expected = [RunningTask("o.0.0.0", 2, "", 0, 0.0)]
+        for odd in (
+            NESTED,
+            b"1e999",
+            b"1e300",
+            b"-1e300",
+            b"9" * 5000,
+            b"%d" % 10**400,
+            b'"' + b"c" * 10**6 + b'"',
+        ):
+            row = b'["o.0.0.0",2,%s,%s,%s]' % (odd, odd, odd)
+            self.check_running(row, expected)
+
+    def test_a_nested_string_is_no_nesting(self):
+        """Guards against a name with brackets that is taken for a nested value."""
+        name = b"[" * 100 + b'\\"' + b"{" * 100
+        row = b'["o.0.0.0",2,"%s",1,%s]' % (name, NESTED)
+        checkpoint = "[" * 100 + '"' + "{" * 100
+        self.check_running(row, [RunningTask("o.0.0.0", 2, checkpoint, 1, 0.0)])
+
+    def test_an_odd_end_leaves_its_neighbours_in_use(self):
+        """Guards against ends that are never reported as one row is odd."""
+        valid = b'[1,"v.0.0.0",1,"done","c"]'
+        for odd in (
+            NESTED,
+            b'[%d,"o.0.0.0",1,"done",""]' % 10**25,
+            b'[2,"o.0.0.0",%d,"done",""]' % 10**25,
+            b'[-2,"o.0.0.0",1,"done",""]',
+            b'[2,"o.0.0.0",1,%s,""]' % NESTED,
+            b'[2,"' + b"o" * 10**6 + b'",1,"done",""]',
+        ):
+            snapshot = self.poll(ended=odd + b"," + valid).unwrap()
+            expected = (EndedTask(1, "v.0.0.0", 1, "done", "c"),)
+            self.assertEqual(snapshot.ended, expected, odd[:40])
+        row = b'[2,"o.0.0.0",1,"done",%s]' % NESTED
+        snapshot = self.poll(ended=row).unwrap()
+        self.assertEqual(snapshot.ended, (EndedTask(2, "o.0.0.0", 1, "done", ""),))
+
+    def test_an_odd_clock_or_birth_is_refused(self):
+        """Guards against a poll thread that raises on a time out of range."""
+        for clock in (10**25, 10**17, -1):
+            problem = self.poll(clock=clock).failure()
+            self.assertEqual(problem.kind, ErrorKind.INVALID_MESSAGE)
+            self.assertIn("clock_ms", problem.detail)
+        for born in (10**25, 0, -1):
+            body = b'{"clock_ms":5,"born":%d}' % born
+            reply = build_runner(body).poll(None, 1, 0, timedelta())
+            self.assertEqual(reply.failure().kind, ErrorKind.INVALID_MESSAGE)
+
+    def test_the_largest_clock_can_be_used(self):
+        """Guards against a bound of the clock above what durations can hold."""
+        state = AgentState(Identity("h", "h:1", "i"))
+        snapshot = self.poll(clock=MAX_DURATION_MILLISECONDS).unwrap()
+        self.assertTrue(state.apply_snapshot(snapshot, timedelta(), state.begin_poll()))
+        state.authority_until = timedelta(seconds=5)
+        self.assertIsNotNone(state.compute_lease_deadline(timedelta()))
+
+    def test_a_list_without_an_end_is_refused(self):
+        """Guards against a truncated list that is taken for a complete one."""
+        body = b'{"clock_ms":5,"born":1,"running":[' + b"[" * DEPTH
+        reply = build_runner(body).poll(None, 1, 0, timedelta())
+        self.assertEqual(reply.failure().kind, ErrorKind.INVALID_MESSAGE)
