Reject configurations with numbers out of range

Cause: the numbers of a configuration had no bounds. A target latency of 1e300 ms raised OverflowError in the thread that follows the operator's topic; a priority of 10**25 was accepted and could not be encoded in the record of any job of the queue; a stretch of 1e300 overflows the deadline of each job; and after a version of 10**25 no configuration is newer.

Seen: no later configuration came into force, each submission was answered with 500, or no job was planned any more.

Evidence: the tests of odd configurations fail before with OverflowError and with configurations that are accepted.

The types of the manifest hold each number within what records, timedelta and datetime hold. As before, an odd configuration is rejected as a whole, and the previous one stays in force.

--- a/src/egretcrank/platform/bounds.py
+++ b/src/egretcrank/platform/bounds.py
@@ -14,6 +14,8 @@
 MAX_CHECKPOINT_CHARACTERS = 64 * 1024
 
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# A number without further meaning here, as records hold it.
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 # A number that increases by one with each event.
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 # A positive number that is only compared.
--- a/src/egretcrank/platform/manifest.py
+++ b/src/egretcrank/platform/manifest.py
@@ -1,17 +1,30 @@
 """Parser for the operator's configuration as the platform stores it."""
 
 from datetime import timedelta
+from typing import Annotated
 
 import msgspec
 from returns.result import Result
 
 from egretcrank.errors.kinds import Problem
+from egretcrank.platform.bounds import Amount, Count, Integer
 from egretcrank.platform.calls import decode_body
-from egretcrank.scheduling.catalog import Catalog, Limits, Queue, Service
+from egretcrank.scheduling.catalog import (
+    MAX_STRETCH,
+    MAX_TARGET_LATENCY,
+    Catalog,
+    Limits,
+    Queue,
+    Service,
+)
 
 OPERATOR_TOPIC = "keyed.op"
 OPERATOR_PARTITION = 0
 CONFIGURATION_KEY = "config"
+MAX_TARGET_LATENCY_MILLISECONDS = MAX_TARGET_LATENCY // timedelta(milliseconds=1)
+
+Stretch = Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)]
+TargetLatency = Annotated[float, msgspec.Meta(ge=0, le=MAX_TARGET_LATENCY_MILLISECONDS)]
 
 
 class _Route(msgspec.Struct):
@@ -19,10 +32,10 @@
     host: str
     path_prefix: str
     service: str = ""
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: float = 0.0
+    priority: Integer = 0
+    max_attempts: Integer = 1
+    stretch: Stretch = 1.0
+    target_latency_ms: TargetLatency = 0.0
     # Present if the advice service chooses the hosts of the queue.
     advice: msgspec.Raw | None = None
 
@@ -35,11 +48,11 @@
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    body_bytes: int = 262144
+    body_bytes: Amount = 262144
 
 
 class _Manifest(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = _Limits()
--- a/src/egretcrank/scheduling/catalog.py
+++ b/src/egretcrank/scheduling/catalog.py
@@ -4,6 +4,11 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+# Multiples of the longest critical path by these stay within the range of
+# ``timedelta``, and deadlines within that of ``datetime``.
+MAX_STRETCH = 1000.0
+MAX_TARGET_LATENCY = timedelta(days=365)
+
 
 class Queue(NamedTuple):
     """A queue: the HTTP host and path prefix that select it, and its scheduling rules.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,14 +1,16 @@
 """Tests of odd entries from other writers: nested deeply, too large or out of range."""
 
 import io
+import threading
 from datetime import timedelta
 from typing import Any
 
 import msgspec
-from returns.result import Success
+from returns.result import Failure, Success
 
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.state import AgentState, Identity
+from egretcrank.controller.daemon import Controller
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
 from egretcrank.errors.kinds import ErrorKind
@@ -21,10 +23,11 @@
     HeartbeatEndpoint,
 )
 from egretcrank.platform.ingress import Ingress
-from egretcrank.platform.manifest import parse_manifest
+from egretcrank.platform.manifest import CONFIGURATION_KEY, parse_manifest
 from egretcrank.platform.runner import Runner
 from egretcrank.platform.store import Store
-from egretcrank.scheduling.table import JobTable
+from egretcrank.scheduling.catalog import EMPTY_CATALOG
+from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
@@ -291,6 +294,75 @@
         self.assertEqual(appended.failure().kind, ErrorKind.CALL_TIMEOUT)
 
 
+class OddConfigurationTests(AsyncTestCase):
+    """Configurations with numbers out of range."""
+
+    def test_numbers_without_a_meaning_are_rejected(self):
+        """Guards against plans or submissions that fail for each job of a queue."""
+        odd: dict[str, tuple[float, ...]] = {
+            "priority": (10**25, -(10**25)),
+            "max_attempts": (10**25,),
+            "stretch": (1e300, -1.0),
+            "target_latency_ms": (1e300, -1.0),
+        }
+        for name, values in odd.items():
+            for value in values:
+                manifest = {"version": 1, "routes": [{**ROUTE, name: value}]}
+                problem = parse_manifest(msgspec.json.encode(manifest)).failure()
+                self.assertEqual(problem.kind, ErrorKind.INVALID_MESSAGE)
+                self.assertIn(f"`$.routes[0].{name}`", problem.detail)
+        for manifest in (
+            {"version": 10**25, "routes": []},
+            {"version": -1, "routes": []},
+            {"version": 1, "routes": [], "limits": {"body_bytes": 10**25}},
+            {"version": 1, "routes": [], "limits": {"body_bytes": -1}},
+        ):
+            self.assertIsInstance(
+                parse_manifest(msgspec.json.encode(manifest)), Failure
+            )
+
+    def test_a_valid_configuration_follows_odd_ones(self):
+        """Guards against a follower that rereads an odd configuration forever."""
+        controller: Any = Controller.__new__(Controller)
+        controller._lock = threading.Condition()
+        controller._cell = None
+        controller._metrics = Metrics()
+        controller._service = type("Service", (), {"catalog": EMPTY_CATALOG})
+        odd = {"version": 10**25, "routes": []}
+        long = {"version": 1, "routes": [{**ROUTE, "target_latency_ms": 1e300}]}
+        valid = {"version": 2, "routes": [ROUTE]}
+        values = [*map(msgspec.json.encode, (odd, long)), NESTED]
+        values += [insert_nested(long, "odd"), msgspec.json.encode(valid)]
+        controller._apply_operator_records(
+            tuple(
+                StoredValue(offset, CONFIGURATION_KEY, value)
+                for offset, value in enumerate(values)
+            )
+        )
+        self.assertEqual(controller._service.catalog.version, 2)
+
+    def test_a_configuration_that_fails_does_not_block_later_ones(self):
+        """Guards against a follower that rereads the same page forever."""
+        controller: Any = Controller.__new__(Controller)
+        applied: list[bytes] = []
+
+        def apply(stored: StoredValue) -> None:
+            if stored.value == b"bad":
+                raise RuntimeError("defect")
+            applied.append(stored.value)
+
+        controller._metrics = Metrics()
+        controller._apply_configuration = apply
+        values = (b"a", b"bad", b"b")
+        controller._apply_operator_records(
+            tuple(
+                StoredValue(offset, CONFIGURATION_KEY, value)
+                for offset, value in enumerate(values)
+            )
+        )
+        self.assertEqual(applied, [b"a", b"b"])
+
+
 class RunnerListTests(AsyncTestCase):
     """Odd rows among those of a runner's lists."""
 
