Follow the operator's topic past a configuration that fails

Cause: an unexpected exception while a configuration was applied ended the loop of the thread that follows the topic, before its position moved on. The thread restarted and read the same page again, forever.

Seen: no later configuration came into force on any controller.

Evidence: test_a_configuration_that_fails_does_not_block_later_ones fails before with the RuntimeError that the parser raises for the first of two records.

Each record is handled on its own, as those of the cell are. A failed one is logged and counted as void, and a rejected one is counted in egretcrank_refusals_total with the source configuration.

--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -239,31 +239,44 @@
         for stored in records:
             if stored.key != CONFIGURATION_KEY or not stored.value:
                 continue
-            match parse_manifest(stored.value):
-                case Success(catalog) if (
-                    catalog.version > self._service.catalog.version
-                ):
-                    with self._lock:
-                        self._service.catalog = catalog
-                        if self._cell is not None:
-                            self._cell.catalog = catalog
-                            self._request_decision()
-                    logger.info(
-                        "configuration in force",
-                        extra={
-                            "version": catalog.version,
-                            "queues": len(catalog.queues),
-                        },
-                    )
-                case Success(catalog):
-                    logger.info(
-                        "ignoring configuration that is not newer",
-                        extra={"version": catalog.version},
-                    )
-                case Failure(problem):
-                    logger.error(
-                        "configuration rejected", extra={"detail": problem.detail}
-                    )
+            try:
+                self._apply_configuration(stored)
+            except Exception:
+                # As a page is read again until it is handled.
+                logger.exception(
+                    "configuration failed", extra={"offset": stored.offset}
+                )
+                self._metrics.log_records.inc({"stream": "operator", "result": "void"})
+
+    def _apply_configuration(self, stored: StoredValue) -> None:
+        match parse_manifest(stored.value):
+            case Success(catalog) if catalog.version > self._service.catalog.version:
+                with self._lock:
+                    self._service.catalog = catalog
+                    if self._cell is not None:
+                        self._cell.catalog = catalog
+                        self._request_decision()
+                logger.info(
+                    "configuration in force",
+                    extra={"version": catalog.version, "queues": len(catalog.queues)},
+                )
+            case Success(catalog):
+                logger.info(
+                    "ignoring configuration that is not newer",
+                    extra={"version": catalog.version},
+                )
+            case Failure(problem):
+                logger.error(
+                    "configuration rejected",
+                    extra={
+                        "detail": problem.detail,
+                        "where": problem.where,
+                        "expected": problem.expected,
+                    },
+                )
+                self._metrics.refusals.inc(
+                    {"source": "configuration", "kind": problem.kind.value}
+                )
 
     # Leadership
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,12 +4,14 @@
 import threading
 from datetime import timedelta
 from typing import Any
+from unittest.mock import Mock, patch
 
 import msgspec
 from returns.result import Failure, Success
 
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.state import AgentState, Identity
+from egretcrank.controller import daemon
 from egretcrank.controller.daemon import Controller
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
@@ -107,6 +109,17 @@
     return store
 
 
+def build_controller() -> Any:
+    """Build a controller that only applies records."""
+    controller: Any = Controller.__new__(Controller)
+    controller._lock = threading.Condition()
+    controller._cell = None
+    controller._metrics = Metrics()
+    controller._table = JobTable()
+    controller._service = Mock(catalog=EMPTY_CATALOG)
+    return controller
+
+
 class EndpointTestCase(AsyncTestCase):
     """Test case with an endpoint for heartbeats."""
 
@@ -323,11 +336,7 @@
 
     def test_a_valid_configuration_follows_odd_ones(self):
         """Guards against a follower that rereads an odd configuration forever."""
-        controller: Any = Controller.__new__(Controller)
-        controller._lock = threading.Condition()
-        controller._cell = None
-        controller._metrics = Metrics()
-        controller._service = type("Service", (), {"catalog": EMPTY_CATALOG})
+        controller = build_controller()
         odd = {"version": 10**25, "routes": []}
         long = {"version": 1, "routes": [{**ROUTE, "target_latency_ms": 1e300}]}
         valid = {"version": 2, "routes": [ROUTE]}
@@ -343,24 +352,14 @@
 
     def test_a_configuration_that_fails_does_not_block_later_ones(self):
         """Guards against a follower that rereads the same page forever."""
-        controller: Any = Controller.__new__(Controller)
-        applied: list[bytes] = []
-
-        def apply(stored: StoredValue) -> None:
-            if stored.value == b"bad":
-                raise RuntimeError("defect")
-            applied.append(stored.value)
-
-        controller._metrics = Metrics()
-        controller._apply_configuration = apply
-        values = (b"a", b"bad", b"b")
-        controller._apply_operator_records(
-            tuple(
-                StoredValue(offset, CONFIGURATION_KEY, value)
-                for offset, value in enumerate(values)
+        controller = build_controller()
+        valid = parse_manifest(msgspec.json.encode({"version": 2, "routes": []}))
+        results = Mock(side_effect=[RuntimeError("defect"), valid])
+        with patch.object(daemon, "parse_manifest", results):
+            controller._apply_operator_records(
+                tuple(StoredValue(n, CONFIGURATION_KEY, b"v") for n in range(2))
             )
-        )
-        self.assertEqual(applied, [b"a", b"b"])
+        self.assertEqual(controller._service.catalog.version, 2)
 
 
 class RunnerListTests(AsyncTestCase):
