Refuse numbers of jobs that no record can hold

Cause: the integers of a caller's job had no upper bound. Encoding the record of a job with a number beyond 64 bits raised OverflowError after the job had been found valid.

Seen: status 500, which callers may retry, in place of 400.

Evidence: test_numbers_that_no_record_can_hold_are_refused fails before with (500, 'internal') for cpu 10**25.

The integers are bounded where the job is decoded. Their types move to wire/bounds.py, as records and messages have the same bounds.

--- a/src/egretcrank/platform/bounds.py
+++ b/src/egretcrank/platform/bounds.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
+from egretcrank.wire.bounds import MAX_INTEGER
 
 # Sums and multiples of a few such durations stay within the range of ``timedelta``.
 MAX_DURATION = timedelta.max / 16
@@ -13,11 +13,6 @@
 MAX_NAME_CHARACTERS = 255
 MAX_CHECKPOINT_CHARACTERS = 64 * 1024
 
-Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-# A number without further meaning here, as records hold it.
-Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
-# A number that increases by one with each event.
-Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 # A positive number that is only compared.
 Identifier = Annotated[int, msgspec.Meta(gt=0, le=MAX_INTEGER)]
 # A clock reading in milliseconds since the start of a process.
--- a/src/egretcrank/platform/heartbeats.py
+++ b/src/egretcrank/platform/heartbeats.py
@@ -9,15 +9,9 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.platform.bounds import (
-    Amount,
-    Clock,
-    Count,
-    DurationMilliseconds,
-    Identifier,
-)
+from egretcrank.platform.bounds import Clock, DurationMilliseconds, Identifier
 from egretcrank.platform.calls import decode_body
-from egretcrank.wire.bounds import is_address
+from egretcrank.wire.bounds import Amount, Count, is_address
 from egretcrank.wire.hosting import RunnerInfo
 
 INSTANCES_PREFIX = "/-/instances/"
--- a/src/egretcrank/platform/ingress.py
+++ b/src/egretcrank/platform/ingress.py
@@ -19,6 +19,7 @@
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.definitions import JobDefinition, Step
 from egretcrank.scheduling.records import Phase
+from egretcrank.wire.bounds import Integer
 
 DEADLINE_HEADER = "HTTP_EGRETCRANK_REQUEST_DEADLINE"
 # Callers that send no deadline header wait about this long.
@@ -39,12 +40,12 @@
 
 
 class _Step(msgspec.Struct):
-    count: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    count: Integer = 0
+    cpu: Integer = 0
+    mem_mb: Integer = 0
+    gpu: Integer = 0
     estimated_ms: float = 0.0
-    depends_on: tuple[int, ...] = ()
+    depends_on: tuple[Integer, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
@@ -53,20 +54,20 @@
     # Rack that holds the input data.
     affinity: str = ""
     # Maximum number of tasks of the step on one runner.
-    anti_affinity: int = 0
+    anti_affinity: Integer = 0
     allow_duplicates: bool = False
     long_running: bool = False
     image: str = ""
     target_ms: float = 0.0
     # Whether the tasks are best-effort tasks.
     fills: bool = False
-    miss_allowed: int = 0
+    miss_allowed: Integer = 0
 
 
 class _Job(msgspec.Struct):
     spec: str = ""
     steps: list[_Step] = []
-    repetitions: int = 0
+    repetitions: Integer = 0
     first_run_ms: float = 0.0
     interval_ms: float = 0.0
 
--- a/src/egretcrank/platform/manifest.py
+++ b/src/egretcrank/platform/manifest.py
@@ -7,7 +7,6 @@
 from returns.result import Result
 
 from egretcrank.errors.kinds import Problem
-from egretcrank.platform.bounds import Amount, Count, Integer
 from egretcrank.platform.calls import decode_body
 from egretcrank.scheduling.catalog import (
     MAX_STRETCH,
@@ -17,6 +16,7 @@
     Queue,
     Service,
 )
+from egretcrank.wire.bounds import Amount, Count, Integer
 
 OPERATOR_TOPIC = "keyed.op"
 OPERATOR_PARTITION = 0
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -9,10 +9,8 @@
 
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.bounds import (
-    Amount,
     Checkpoint,
     Clock,
-    Count,
     Measurement,
     Name,
     Percent,
@@ -24,6 +22,7 @@
     decode_list_body,
     log_refused_rows,
 )
+from egretcrank.wire.bounds import Amount, Count
 from egretcrank.wire.hosting import EndedTask, RunningTask, StartOrder
 
 # A local call takes about 1 ms, and up to 100 ms on a throttled machine.
--- a/src/egretcrank/wire/bounds.py
+++ b/src/egretcrank/wire/bounds.py
@@ -2,6 +2,9 @@
 
 import re
 from ipaddress import IPv6Address
+from typing import Annotated
+
+import msgspec
 
 # Messages and records hold signed integers of 64 bits.
 MAX_INTEGER = 2**63 - 1
@@ -11,6 +14,12 @@
 # The Domain Name System limits names to this length.
 MAX_HOST_CHARACTERS = 253
 
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# A number without further meaning here, as records hold it.
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+# A number that increases by one with each event.
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+
 _ADDRESS = re.compile(
     r"(?:\[(?P<ipv6>[0-9A-Fa-f:.]+)\]|(?P<host>[A-Za-z0-9._-]+)):(?P<port>[0-9]{1,5})"
 )
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -284,6 +284,34 @@
             self.assertEqual((status, answer["kind"]), (400, "bad_request"))
 
 
+class OddJobTests(CallerTestCase):
+    """Jobs with values out of range."""
+
+    def test_numbers_that_no_record_can_hold_are_refused(self):
+        """Guards against status 500 for a job that no retry can make valid."""
+        step = {"count": 1, "cpu": 1, "mem_mb": 1}
+        amounts = ("count", "cpu", "mem_mb", "gpu", "anti_affinity", "miss_allowed")
+        times = ("estimated_ms", "target_ms")
+        odd: list[dict[str, Any]] = [
+            *({name: sign * 10**25} for name in amounts for sign in (1, -1)),
+            *({name: sign * 1e300} for name in times for sign in (1, -1)),
+            {"depends_on": [10**25]},
+        ]
+        jobs: list[dict[str, Any]] = [{"steps": [{**step, **o}]} for o in odd]
+        jobs += [
+            {"steps": [step], "repetitions": 10**25},
+            {"steps": [step], "repetitions": 2, "first_run_ms": 1e300},
+            {"steps": [step], "repetitions": 2, "interval_ms": 1e300},
+        ]
+        for job in jobs:
+            status, answer = self.post(msgspec.json.encode(job))
+            self.assertEqual((status, answer["kind"]), (400, "bad_request"), job)
+            self.assertTrue(answer["detail"])
+            self.assertTrue(answer["where"])
+        status, answer = self.post(msgspec.json.encode({"steps": [step]}))
+        self.assertEqual((status, answer), (200, {"state": "queued"}))
+
+
 class NestedBodyTests(AsyncTestCase):
     """Bodies of the platform that are nested deeply."""
 
