--- a/src/egretcrank/scheduling/definitions.py
+++ b/src/egretcrank/scheduling/definitions.py
@@ -1,9 +1,10 @@
 """Definitions of submitted jobs, and the names of their tasks."""
 
-from datetime import datetime, timedelta
+import re
+from datetime import UTC, datetime, timedelta
 from typing import NamedTuple
 
-from egretcrank.scheduling.catalog import Queue
+from egretcrank.scheduling.catalog import MAX_STRETCH, MAX_TARGET_LATENCY, Queue
 
 # Limits of tasks per step and steps per job, which bound the memory of one job.
 MAX_TASKS = 10_000
@@ -15,6 +16,14 @@
 # of them stay within the range of ``datetime``.
 MAX_DURATION = timedelta(days=365)
 MAX_FIRST_RUN_DELAY = timedelta(days=3650)
+# Limits of times, of the time between the first and the last repetition, and of the
+# time that a job may take. Sums of a few of them stay within the range of ``datetime``.
+MAX_TIME = datetime(3000, 1, 1, tzinfo=UTC)
+MAX_REPETITION_SPAN = timedelta(days=365_000)
+MAX_OBJECTIVE = timedelta(days=365_000)
+
+# Identifiers are parts of the names of tasks, which are separated by dots.
+_JOB_ID = re.compile(r"[A-Za-z0-9_-]{1,64}")
 
 
 class Step(NamedTuple):
@@ -105,6 +114,16 @@
 
 def find_defect(definition: JobDefinition) -> str:
     """Describe what is invalid in a job; empty if it is valid."""
+    if not _JOB_ID.fullmatch(definition.job_id):
+        return "a job identifier has 1 to 64 letters, digits, hyphens and underscores"
+    return (
+        _find_step_defect(definition)
+        or _find_time_defect(definition)
+        or _find_queue_defect(definition.queue)
+    )
+
+
+def _find_step_defect(definition: JobDefinition) -> str:
     steps = definition.steps
     if not steps or len(steps) > MAX_STEPS:
         return f"a job has 1 to {MAX_STEPS} steps"
@@ -119,12 +138,20 @@
             return f"step {number} has an estimate below 0 or over {MAX_DURATION}"
         if any(steps[earlier].long_running for earlier in step.depends_on):
             return f"step {number} depends on a step that never ends"
-    if definition.repetitions and definition.first_run is None:
-        return "a repeated job has no time of its first run"
     tasks = sum(step.width for step in steps) * max(1, definition.repetitions)
     if definition.repetitions < 0 or tasks > MAX_JOB_TASKS:
         return f"a job has up to {MAX_JOB_TASKS} tasks over all its repetitions"
+    return ""
+
+
+def _find_time_defect(definition: JobDefinition) -> str:
+    """Describe what is invalid in the times of a job whose steps are valid."""
     first_run = definition.first_run
+    if definition.repetitions and first_run is None:
+        return "a repeated job has no time of its first run"
+    for time in (definition.submitted_at, first_run):
+        if time is not None and (time.tzinfo is None or time > MAX_TIME):
+            return f"a time has no time zone or is after {MAX_TIME}"
     if (
         first_run is not None
         and first_run - definition.submitted_at > MAX_FIRST_RUN_DELAY
@@ -132,4 +159,14 @@
         return f"the first run is over {MAX_FIRST_RUN_DELAY} ahead"
     if not timedelta() <= definition.interval <= MAX_DURATION:
         return f"repetitions are 0 to {MAX_DURATION} apart"
+    if definition.repetitions * definition.interval > MAX_REPETITION_SPAN:
+        return f"the last repetition is over {MAX_REPETITION_SPAN} after the first"
+    return ""
+
+
+def _find_queue_defect(queue: Queue) -> str:
+    if not 0 <= queue.stretch <= MAX_STRETCH:
+        return f"the queue's stretch is not from 0 to {MAX_STRETCH}"
+    if not timedelta() <= queue.target_latency <= MAX_TARGET_LATENCY:
+        return f"the queue's target latency is not from 0 to {MAX_TARGET_LATENCY}"
     return ""
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -6,6 +6,7 @@
 from egretcrank.policy.crashes import MIN_CRASHES, Crash
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.definitions import (
+    MAX_OBJECTIVE,
     JobDefinition,
     Step,
     StepKey,
@@ -236,7 +237,7 @@
     def find_deadline(self, occurrence: int, queue: Queue) -> datetime:
         """Return the time by which an occurrence has to end to be on time."""
         objective = queue.stretch * self._critical_path + queue.target_latency
-        return self.due_at(occurrence) + objective
+        return self.due_at(occurrence) + min(objective, MAX_OBJECTIVE)
 
     def estimate_remaining(self, occurrence: int) -> timedelta:
         """Return the estimated duration of the remaining critical path."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,8 +1,9 @@
 """Tests of odd entries from other writers: nested deeply, too large or out of range."""
 
 import io
+import math
 import threading
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from typing import Any
 from unittest.mock import Mock, patch
 
@@ -28,8 +29,22 @@
 from egretcrank.platform.manifest import CONFIGURATION_KEY, parse_manifest
 from egretcrank.platform.runner import Runner
 from egretcrank.platform.store import Store
-from egretcrank.scheduling.catalog import EMPTY_CATALOG
+from egretcrank.policy.slowdown import Slowdowns
+from egretcrank.scheduling.catalog import (
+    EMPTY_CATALOG,
+    MAX_STRETCH,
+    MAX_TARGET_LATENCY,
+)
+from egretcrank.scheduling.definitions import (
+    MAX_DURATION,
+    MAX_TIME,
+    JobDefinition,
+    find_defect,
+)
+from egretcrank.scheduling.ordering import order_steps
+from egretcrank.scheduling.records import Phase, RecordKey, RecordKind, encode_record
 from egretcrank.scheduling.table import JobTable, StoredValue
+from egretcrank.scheduling.tasks import Job
 from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
@@ -38,6 +53,8 @@
     RunningTask,
 )
 from tests.cases import AsyncTestCase, ManualClock
+from tests.cell_world import QUEUE, World, build_step
+from tests.test_poison import NOW, build_definition
 
 DEPTH = 100_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
@@ -493,3 +510,81 @@
         body = b'{"clock_ms":5,"born":1,"running":[' + b"[" * DEPTH
         reply = build_runner(body).poll(None, 1, 0, timedelta())
         self.assertEqual(reply.failure().kind, ErrorKind.INVALID_MESSAGE)
+
+
+class JobRecordTests(AsyncTestCase):
+    """Odd jobs that another writer has left on the log."""
+
+    def check_refused(self, definition: JobDefinition) -> None:
+        """Check that a job is refused, and that others run beside it."""
+        world = World(41)
+        world.run(1)
+        key = RecordKey(RecordKind.JOB, definition.job_id).format()
+        assert world.log.append([(key, encode_record(definition))], None)
+        job = world.submit(build_step())
+        world.run(8)
+        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+        self.assertEqual(world.leader.table.refused, 1)
+        world.leader.fenced = True
+        world.elect()
+        job = world.submit(build_step())
+        world.run(12)
+        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+        self.assertEqual(world.violations, [])
+
+    def test_a_job_with_an_odd_time_blocks_no_other(self):
+        """Guards against plans that all fail as one deadline cannot be computed."""
+        for changes in (
+            {"submitted_at": datetime.max.replace(tzinfo=UTC)},
+            {"submitted_at": datetime(2026, 1, 1)},
+            {"repetitions": 2, "first_run": datetime(2026, 1, 1)},
+            {
+                "repetitions": 100_000,
+                "steps": (build_step(width=1),),
+                "first_run": NOW,
+                "interval": timedelta(days=365),
+            },
+        ):
+            self.check_refused(build_definition("f" * 16, **changes))
+
+    def test_a_job_of_an_odd_queue_blocks_no_other(self):
+        """Guards against plans that all fail as a queue of the log has odd numbers."""
+        for changes in (
+            {"stretch": 1e300},
+            {"stretch": math.nan},
+            {"stretch": math.inf},
+            {"stretch": -1.0},
+            {"target_latency": timedelta.max},
+            {"target_latency": timedelta.min},
+        ):
+            # Not the name of a configured queue, whose configuration would be used.
+            queue = QUEUE._replace(name="removed", **changes)
+            self.check_refused(build_definition("f" * 16, queue=queue))
+
+    def test_a_job_whose_tasks_cannot_be_named_is_refused(self):
+        """Guards against hosts that are avoided for starts that never succeed."""
+        for job_id in ("a.b", "", "a" * 1000, "\u00e4", "a/b"):
+            self.check_refused(build_definition(job_id))
+
+    def test_the_largest_job_can_be_planned(self):
+        """Guards against bounds of times whose sums are out of range."""
+        step = build_step(width=1, estimate=MAX_DURATION)
+        steps = [step._replace(depends_on=(n - 1,) if n else ()) for n in range(100)]
+        queue = QUEUE._replace(
+            name="removed", stretch=MAX_STRETCH, target_latency=MAX_TARGET_LATENCY
+        )
+        definition = JobDefinition(
+            "f" * 16,
+            queue,
+            "",
+            tuple(steps),
+            MAX_TIME,
+            1000,
+            MAX_TIME,
+            MAX_DURATION,
+        )
+        self.assertEqual(find_defect(definition), "")
+        job = Job(definition, 0)
+        job.add_occurrence(999)
+        now = job.due_at(999)
+        self.assertEqual(len(order_steps([job], lambda _: queue, Slowdowns(), now)), 1)
