Bound the numbers in records of progress and crashes

Cause: a record of progress was taken as it was. An end at NaN or 1e300 raised while a new leader opened the cell; a run number of 64 bits could not be counted on within an order's encoding; a count of failures or an occurrence that the job lacks took memory for each; and the name of a task with thousands of digits raised ValueError.

Seen: no controller could take over, or each round of decisions ended at the first order that could not be encoded, so the hosts after it got none; or the leader ran out of memory.

Evidence: four of the five tests of ProgressRecordTests fail before.

The fields of the records are bounded where they are decoded, occurrences that a job lacks are skipped, and a restored count of failures is cut at 10,000. What is out of range is refused, logged and counted like other odd records.

--- a/src/egretcrank/policy/crashes.py
+++ b/src/egretcrank/policy/crashes.py
@@ -11,6 +11,8 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+from egretcrank.wire.bounds import MAX_COUNT
+
 # Times over which the rate of crashes is taken; the highest counts. The short one
 # follows hosts that begin to crash, the long one crashes that come in turns.
 RATE_WINDOWS = (timedelta(seconds=3), timedelta(seconds=10))
@@ -61,7 +63,7 @@
     def is_plausible(self) -> bool:
         """Return whether the values are such as a leader would have written."""
         return (
-            self.run > 0
+            0 < self.run <= MAX_COUNT
             and 0 <= self.at <= MAX_TIMESTAMP
             and 0 <= self.age_seconds <= MAX_AGE.total_seconds()
             and self.candidates > 0
--- a/src/egretcrank/scheduling/definitions.py
+++ b/src/egretcrank/scheduling/definitions.py
@@ -12,6 +12,8 @@
 # Limit of a job's tasks over all steps and repetitions: each takes about 150 bytes on
 # the leader, which has 200 MB on the smallest machines.
 MAX_JOB_TASKS = 100_000
+# Digits of the largest number of a step, of a task or of a repetition.
+MAX_INDEX_DIGITS = len(str(MAX_JOB_TASKS))
 # Limits of estimates and intervals, and of the time until the first run. Sums of a few
 # of them stay within the range of ``datetime``.
 MAX_DURATION = timedelta(days=365)
@@ -98,7 +100,9 @@
 def parse_task_key(name: str) -> TaskKey | None:
     """Parse a task name; return ``None`` if it is malformed."""
     parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdecimal() for part in parts[1:]):
+    if len(parts) != 4 or not all(
+        part.isdecimal() and len(part) <= MAX_INDEX_DIGITS for part in parts[1:]
+    ):
         return None
     return TaskKey(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -5,16 +5,20 @@
 """
 
 from enum import StrEnum
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
-from egretcrank.policy.crashes import Crash
+from egretcrank.policy.crashes import MAX_TIMESTAMP, Crash
 from egretcrank.scheduling.definitions import JobDefinition
+from egretcrank.wire.bounds import Count, Integer
 from egretcrank.wire.hosting import Pressure
 
+# Seconds since 1970.
+Timestamp = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIMESTAMP)]
+
 
 class RecordKind(StrEnum):
     """Kind of a record, which is the first part of its key."""
@@ -46,12 +50,13 @@
 class TaskRecord(NamedTuple):
     """Progress of a task that is not done and has an ended run or a checkpoint."""
 
-    highest_run: int = 0
-    ended_run: int = 0
+    highest_run: Count = 0
+    ended_run: Count = 0
     # Read by the previous release, which has no ``failed_runs``.
-    failures: int = 0
+    failures: Count = 0
     checkpoint: str = ""
-    failed_runs: tuple[int, ...] = ()
+    # Negative numbers stand for failures of which only the count is known.
+    failed_runs: tuple[Integer, ...] = ()
 
 
 class StepRecord(NamedTuple):
@@ -65,7 +70,7 @@
     """Progress of a job; ``ended_at`` is in seconds since 1970, 0 until it ends."""
 
     phase: Phase
-    ended_at: float = 0.0
+    ended_at: Timestamp = 0.0
     occurrences: dict[int, list[StepRecord]] = {}
 
 
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -24,6 +24,9 @@
 # A job is late if it takes longer than its objective, and too late to earn anything if
 # it takes longer than this many times its objective.
 LATE_FACTOR = 3
+# Failures of a task that are restored where the log has only their number, as each of
+# them takes memory.
+MAX_RESTORED_FAILURES = 10_000
 
 
 class RunPhase(StrEnum):
@@ -151,7 +154,7 @@
                 # The previous release records a count only. Negative run numbers stand
                 # for those failures.
                 task.failed_runs = set(task_record.failed_runs) or set(
-                    range(-task_record.failures, 0)
+                    range(-min(task_record.failures, MAX_RESTORED_FAILURES), 0)
                 )
                 task.checkpoint = task_record.checkpoint
         for index in range(min(len(self.tasks), len(record.done) * 8)):
@@ -291,6 +294,8 @@
         if progress.ended_at:
             self.ended_at = datetime.fromtimestamp(progress.ended_at, UTC)
         for occurrence, records in progress.occurrences.items():
+            if not 0 <= occurrence < self.occurrence_count:
+                continue
             steps = self.occurrences.get(occurrence) or self.add_occurrence(occurrence)
             for step, record in zip(steps, records, strict=False):
                 step.restore(record)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -29,6 +29,7 @@
 from egretcrank.platform.manifest import CONFIGURATION_KEY, parse_manifest
 from egretcrank.platform.runner import Runner
 from egretcrank.platform.store import Store
+from egretcrank.policy.crashes import Crash
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import (
     EMPTY_CATALOG,
@@ -42,7 +43,16 @@
     find_defect,
 )
 from egretcrank.scheduling.ordering import order_steps
-from egretcrank.scheduling.records import Phase, RecordKey, RecordKind, encode_record
+from egretcrank.scheduling.records import (
+    Phase,
+    ProgressRecord,
+    RecordKey,
+    RecordKind,
+    StepRecord,
+    TaskRecord,
+    decode_record,
+    encode_record,
+)
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.scheduling.tasks import Job
 from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
@@ -588,3 +598,69 @@
         job.add_occurrence(999)
         now = job.due_at(999)
         self.assertEqual(len(order_steps([job], lambda _: queue, Slowdowns(), now)), 1)
+
+
+class ProgressRecordTests(AsyncTestCase):
+    """Odd records of the progress of a job that other writers have left on the log."""
+
+    def take_over(self, kind: RecordKind, *record: Any) -> World:
+        """Let a new leader take over a job with an odd record, and check the cell."""
+        world = World(41)
+        odd = world.submit(build_step(width=30))
+        world.run(1)
+        key = RecordKey(kind, odd).format()
+        assert world.log.append([(key, msgspec.msgpack.encode(record))], None)
+        world.leader.fenced = True
+        world.elect()
+        job = world.submit(build_step())
+        world.run(20)
+        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+        return world
+
+    def build_task(self, **changes: Any) -> dict[int, Any]:
+        """Build the progress of the first occurrence from the record of a task."""
+        return {0: [(b"", {0: TaskRecord()._replace(**changes)})]}
+
+    def test_odd_progress_does_not_stop_a_takeover(self):
+        """Guards against a cell that no controller can lead any more."""
+        for ended_at in (math.nan, math.inf, 1e300, -1e300):
+            for phase in ("completed", "running"):
+                world = self.take_over(RecordKind.PROGRESS, phase, ended_at, {})
+                self.assertEqual(world.leader.table.refused, 1)
+
+    def test_odd_run_numbers_do_not_stop_the_orders(self):
+        """Guards against orders that cannot be encoded, to this host and all others."""
+        for number in (2**64 - 1, 2**63, MAX_COUNT + 1, -1):
+            for name in ("highest_run", "ended_run"):
+                progress = self.build_task(**{name: number})
+                world = self.take_over(RecordKind.PROGRESS, "running", 0.0, progress)
+                self.assertEqual(world.leader.table.refused, 1)
+
+    def test_the_run_after_the_largest_number_can_be_ordered(self):
+        """Guards against a bound of run numbers beyond which no order is encoded."""
+        progress = self.build_task(highest_run=MAX_COUNT, ended_run=MAX_COUNT)
+        world = self.take_over(RecordKind.PROGRESS, "running", 0.0, progress)
+        self.assertGreater(max(run for _, run, _ in world.starts), MAX_COUNT)
+
+    def test_many_failures_or_occurrences_take_no_memory(self):
+        """Guards against a record of a few bytes that takes all memory of a leader."""
+        job = Job(build_definition("f" * 16), 0)
+        failed = StepRecord(b"", {0: TaskRecord(failures=10**6)})
+        others = {n: [StepRecord()] for n in (-1, 1, 2, MAX_COUNT)}
+        job.restore(ProgressRecord(Phase.RUNNING, 0.0, {0: [failed], **others}))
+        self.assertEqual(job.occurrences.keys(), {0})
+        task = job.occurrences[0][0].tasks[0]
+        self.assertLessEqual(task.failures, 10_000)
+        odd = ("running", 0.0, self.build_task(failures=MAX_COUNT + 1))
+        decoded = decode_record(RecordKind.PROGRESS, msgspec.msgpack.encode(odd))
+        self.assertEqual(decoded.failure().kind, ErrorKind.INVALID_RECORD)
+
+    def test_odd_crashes_do_not_stop_a_takeover(self):
+        """Guards against crashes whose task or run nobody can name."""
+        crash = Crash(1, "h0", 1, 1e9, 1.0, 2, 1.0, True)
+        for name in ("9" * 5000 + ".0.0", "0.0." + "9" * 5000, "9" * 18 + ".0.0"):
+            self.take_over(RecordKind.CRASHES, {name: [crash]})
+        world = self.take_over(
+            RecordKind.CRASHES, {"0.0.0": [crash._replace(run=2**64 - 1)]}
+        )
+        self.assertEqual(world.leader.table.refused, 1)
