Let no member lead whose name contains no address

Cause: any member of the group of controllers that holds a slot was a candidate, whatever its name, and a fitness was any number.

Seen: with a member "127.0.0.1:99999#100#x" at a low slot of another writer, no controller takes itself for elected, so no jobs start; agents dial the odd address instead of the leader's each time that they look the leader up. A fitness of more digits than Python parses raises in the election thread of every controller.

Evidence: the tests of OddMemberTests fail before: the odd member is chosen.

Candidates need a host and a port from 1 to 65535, and a fitness above 100 counts as 0. Odd members are logged once a generation.

--- a/src/egretcrank/controller/candidates.py
+++ b/src/egretcrank/controller/candidates.py
@@ -6,6 +6,7 @@
 
 from egretcrank.platform.store import SlotOwner
 from egretcrank.settings.platform import LimitSettings
+from egretcrank.wire.bounds import is_address
 
 # Resources that a leader needs. A leader of 72 hosts uses 0.25 of a core, doubled here
 # to allow for bursts. Leaders on links of 10 Mbit/s, of which half was available, lost
@@ -55,13 +56,15 @@
     Remaining ties go to the lowest slot. Slots may be reassigned at any time, so a
     leader stays elected while it holds any slot and no fitter candidate exists. A
     machine that is too small for the reports of all hosts leads only if no larger one
-    is available. Returns None if no slot is held.
+    is available. A member of another kind, whose name contains no address, leads
+    nothing. Returns None if no other member holds a slot.
     """
     candidates: dict[str, Candidate] = {}
     for owner in owners:
         known = candidates.get(owner.member)
-        if owner.member and (known is None or owner.slot < known.slot):
-            candidates[owner.member] = _parse_member(owner)
+        candidate = _parse_member(owner)
+        if candidate is not None and (known is None or owner.slot < known.slot):
+            candidates[owner.member] = candidate
     return max(
         candidates.values(),
         key=lambda c: (c.fitness, c.address == incumbent, -c.slot),
@@ -69,11 +72,26 @@
     )
 
 
-def _parse_member(owner: SlotOwner) -> Candidate:
+def list_odd_members(owners: Iterable[SlotOwner]) -> list[str]:
+    """Return the members that hold a slot but cannot lead."""
+    return sorted(
+        {owner.member for owner in owners if owner.member and not _parse_member(owner)}
+    )
+
+
+def _parse_member(owner: SlotOwner) -> Candidate | None:
     address, _, rest = owner.member.partition(MEMBER_SEPARATOR)
-    fitness = rest.partition(MEMBER_SEPARATOR)[0]
+    if not is_address(address):
+        return None
+    fitness, separator, _ = rest.partition(MEMBER_SEPARATOR)
     # Member names of earlier releases contain no fitness.
-    percent = (
-        int(fitness) if rest.count(MEMBER_SEPARATOR) and fitness.isdecimal() else 0
-    )
+    percent = _parse_fitness(fitness) if separator else 0
     return Candidate(owner.member, address, percent, owner.slot)
+
+
+def _parse_fitness(text: str) -> int:
+    """Return a percentage, or 0 for a text that is none."""
+    if not text.isdecimal() or len(text) > len(str(MAX_FITNESS_PERCENT)):
+        return 0
+    percent = int(text)
+    return percent if percent <= MAX_FITNESS_PERCENT else 0
--- a/src/egretcrank/controller/election.py
+++ b/src/egretcrank/controller/election.py
@@ -12,6 +12,7 @@
     Candidate,
     choose_leader,
     is_member_at,
+    list_odd_members,
 )
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.store import (
@@ -48,6 +49,8 @@
 # Limits the extension, as a dead controller is noticed that much later.
 MAX_TTL_EXTENSION = timedelta(milliseconds=1000)
 
+MAX_LOGGED_CHARACTERS = 80
+
 logger = logging.getLogger(__name__)
 
 
@@ -163,6 +166,16 @@
 
     def _set_owners(self, owners: tuple[SlotOwner, ...], generation: int) -> None:
         self._owners, self._owners_generation = owners, generation
+        odd = list_odd_members(owners)
+        if odd:
+            logger.warning(
+                "members without a valid address hold slots",
+                extra={
+                    "members": len(odd),
+                    "first": odd[0][:MAX_LOGGED_CHARACTERS],
+                    "expected": "host:port#fitness#id",
+                },
+            )
 
     def _resolve_membership(self, leader: Candidate | None) -> Membership:
         """Return whether this member is elected; leave the group if it is full.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -13,6 +13,7 @@
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.controller import daemon
+from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.daemon import Controller
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
@@ -28,7 +29,7 @@
 from egretcrank.platform.ingress import Ingress
 from egretcrank.platform.manifest import CONFIGURATION_KEY, parse_manifest
 from egretcrank.platform.runner import Runner
-from egretcrank.platform.store import Store
+from egretcrank.platform.store import SlotOwner, Store
 from egretcrank.policy.crashes import Crash
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import (
@@ -664,3 +665,27 @@
             RecordKind.CRASHES, {"0.0.0": [crash._replace(run=2**64 - 1)]}
         )
         self.assertEqual(world.leader.table.refused, 1)
+
+
+class OddMemberTests(AsyncTestCase):
+    """Members of the group of controllers that are none of ours."""
+
+    def test_a_member_that_cannot_be_dialled_leads_nothing(self):
+        """Guards against a cell without a leader, as all wait for an odd member."""
+        valid = SlotOwner(5, "127.0.0.1:80#40#ab12cd34")
+        for address in ODD_ADDRESSES:
+            odd = SlotOwner(0, f"{address}#100#ab12cd34")
+            for owners in ([odd, valid], [valid, odd]):
+                leader = choose_leader(owners, address)
+                assert leader is not None
+                self.assertEqual(leader.member, valid.member, address)
+            self.assertIsNone(choose_leader([odd], address))
+
+    def test_a_fitness_that_is_no_percentage_is_no_advantage(self):
+        """Guards against an odd member that is preferred over each real one."""
+        valid = SlotOwner(5, "127.0.0.1:80#40#ab12cd34")
+        for fitness in ("101", "9" * 30, "9" * 5000, "-1", "nan", "1e3", ""):
+            odd = SlotOwner(0, f"127.0.0.2:80#{fitness}#ab12cd34")
+            leader = choose_leader([odd, valid], "")
+            assert leader is not None
+            self.assertEqual(leader.member, valid.member, fitness[:40])
