Refuse records and messages whose address cannot be dialled

Cause: the addresses in records of the leader and of hosts, and in messages that name the leader, were dialled as they came. pynng raises for some, and dials others for ever. The highest epoch on the log counts as the leader's, up to 64 bits.

Seen: the thread that follows the log raised on a leader at "[::1" and read its page twice, and each attempt left a socket open. A leader with an epoch of 64 bits at port 99999 stayed the known leader for good: followers sent callers' records and agents to it, and each agent went back and forth between it and the leader that it looked up.

Evidence: the five tests of OddAddressTests fail before.

The table refuses such records, with the reason in the log, and receivers such messages, so an earlier leader stays known until the next valid record. A socket whose dial fails is closed. The simulated leaders of cell_world.py get a port, as real ones have.

--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -83,7 +83,7 @@
 class LeaderRecord(NamedTuple):
     """The controller that leads the cell."""
 
-    epoch: int
+    epoch: Count
     address: str
 
 
--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -5,7 +5,7 @@
 from datetime import datetime
 from typing import NamedTuple
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from egretcrank.policy.pressures import is_plausible
 from egretcrank.scheduling.definitions import JobDefinition, find_defect
@@ -21,6 +21,7 @@
     decode_record,
     parse_key,
 )
+from egretcrank.wire.bounds import is_address
 from egretcrank.wire.hosting import Pressure
 
 # Deleted keys whose offset is kept: three records of each job, for 200 jobs a second
@@ -123,17 +124,20 @@
                 crash.is_plausible for crashes in tasks.values() for crash in crashes
             ):
                 self._find(key.name).crashes = record
-            case Success(HostRecord() as host):
+            case Success(HostRecord(address) as host) if is_address(address):
                 self.hosts[key.name] = host
-            case Success(LeaderRecord() as leader):
+            case Success(LeaderRecord(_, address) as leader) if is_address(address):
                 if leader.epoch >= self.leader.epoch:
                     self.leader = leader
             case Success(PressuresRecord(pressures)) if all(
                 map(is_plausible, pressures)
             ):
                 self.pressures = pressures
+            case Failure(problem):
+                self._refuse(stored, problem.detail)
+                return False
             case _:
-                self._refuse(stored, "value cannot be decoded")
+                self._refuse(stored, "value is not plausible")
                 return False
         return True
 
--- a/src/egretcrank/transport/leader.py
+++ b/src/egretcrank/transport/leader.py
@@ -7,6 +7,7 @@
 import pynng
 from returns.result import Failure, Success
 
+from egretcrank.wire.bounds import is_address
 from egretcrank.wire.envelope import Delivery
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
@@ -20,6 +21,7 @@
 RECEIVE_TIMEOUT_MILLISECONDS = 500
 SEND_TIMEOUT_MILLISECONDS = 100
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+MAX_LOGGED_CHARACTERS = 80
 
 logger = logging.getLogger(__name__)
 
@@ -45,7 +47,11 @@
             send_timeout=SEND_TIMEOUT_MILLISECONDS,
             recv_max_size=MAX_MESSAGE_BYTES,
         )
-        self._socket.dial(f"tcp://{address}", block=False)
+        try:
+            self._socket.dial(f"tcp://{address}", block=False)
+        except Exception:
+            self._socket.close()
+            raise
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
 
@@ -156,6 +162,15 @@
 
 def _dispatch(data: bytes, handler: Callable[[LeaderMessage], None]) -> None:
     match HOSTING_CODEC.decode(data):
+        case Success(Delivery(LeaderMoved(_, address))) if not is_address(address):
+            logger.warning(
+                "message refused",
+                extra={
+                    "message_kind": LeaderMoved.__name__,
+                    "detail": f"address {address[:MAX_LOGGED_CHARACTERS]!r} is invalid",
+                    "expected": "a host and a port from 1 to 65535",
+                },
+            )
         case Success(
             Delivery(
                 HostOrders() | LeaderMoved() | AppendAnswer() | LeaderStatus()
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -419,7 +419,7 @@
         self.epoch = epoch
         key = RecordKey(RecordKind.LEADER, "0").format()
         fence_offset = len(world.log.records)
-        record = encode_record(LeaderRecord(epoch, f"leader{epoch}"))
+        record = encode_record(LeaderRecord(epoch, f"leader{epoch}:1"))
         if not world.log.append([(key, record)], epoch):
             return
         self.catch_up()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -8,6 +8,7 @@
 from unittest.mock import Mock, patch
 
 import msgspec
+import pynng
 from returns.result import Failure, Success
 
 from egretcrank.agent.pace import PaceController
@@ -45,6 +46,8 @@
 )
 from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.records import (
+    HostRecord,
+    LeaderRecord,
     Phase,
     ProgressRecord,
     RecordKey,
@@ -56,11 +59,13 @@
 )
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.scheduling.tasks import Job
+from egretcrank.transport.leader import LeaderLink, receive_messages
 from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
     EndedTask,
     HostReport,
+    LeaderMoved,
     RunningTask,
 )
 from tests.cases import AsyncTestCase, ManualClock
@@ -689,3 +694,70 @@
             leader = choose_leader([odd, valid], "")
             assert leader is not None
             self.assertEqual(leader.member, valid.member, fitness[:40])
+
+
+class OddAddressTests(AsyncTestCase):
+    """Addresses on the log and in messages that cannot be dialled."""
+
+    def test_an_odd_record_of_a_leader_is_refused(self):
+        """Guards against agents and controllers that follow no other leader again."""
+        for record in (
+            *(LeaderRecord(2, address) for address in ODD_ADDRESSES),
+            LeaderRecord(2**64 - 1, "127.0.0.1:80"),
+            LeaderRecord(-1, "127.0.0.1:80"),
+        ):
+            table = JobTable()
+            for offset, value in enumerate(
+                (LeaderRecord(1, "127.0.0.1:1"), record, LeaderRecord(3, "[::1]:2"))
+            ):
+                table.apply(StoredValue(offset, "l/0", encode_record(value)))
+                expected = "[::1]:2" if offset == 2 else "127.0.0.1:1"
+                self.assertEqual(table.leader.address, expected)
+            self.assertEqual(table.refused, 1)
+
+    def test_an_odd_record_of_a_host_is_refused(self):
+        """Guards against announcements to, and a takeover that waits for, no host."""
+        table = JobTable()
+        table.apply(StoredValue(0, "h/a", encode_record(HostRecord("127.0.0.1:1"))))
+        for offset, address in enumerate(ODD_ADDRESSES):
+            record = encode_record(HostRecord(address))
+            table.apply(StoredValue(offset + 1, f"h/{offset}", record))
+        self.assertEqual(list(table.hosts), ["a"])
+        self.assertEqual(table.refused, len(ODD_ADDRESSES))
+
+    def test_an_odd_leader_on_the_log_does_not_stop_its_follower(self):
+        """Guards against a page that is read twice as its leader cannot be dialled."""
+        controller = build_controller()
+        controller._submissions = Submissions("c", "127.0.0.1:1", ManualClock())
+        for offset, address in enumerate(ODD_ADDRESSES):
+            record = encode_record(LeaderRecord(2, address))
+            controller._apply_records((StoredValue(offset, "l/0", record),))
+        self.assertEqual(controller._table.refused, len(ODD_ADDRESSES))
+
+    def test_a_message_that_names_an_odd_leader_is_refused(self):
+        """Guards against an agent that dials an odd address again and again."""
+        messages = [LeaderMoved(2, address) for address in ODD_ADDRESSES]
+        messages.append(LeaderMoved(1, "127.0.0.1:80"))
+        waiting = [HOSTING_CODEC.encode(message, "", "c") for message in messages]
+        closing = threading.Event()
+        received: list[Any] = []
+
+        class Socket:
+            def recv(self) -> bytes:
+                return waiting.pop(0)
+
+        def handle(message: Any) -> None:
+            received.append(message)
+            if not waiting:
+                closing.set()
+
+        receive_messages(Socket(), handle, closing)
+        self.assertEqual(received, [LeaderMoved(1, "127.0.0.1:80")])
+
+    def test_a_failed_dial_keeps_no_socket(self):
+        """Guards against a process that runs out of files by dialling again."""
+        link = LeaderLink("c", lambda _: None)
+        with patch("pynng.Pair1") as socket:
+            socket.return_value.dial.side_effect = pynng.AddressInvalid("", 15)
+            self.assertRaises(pynng.AddressInvalid, link.connect, "a")
+        socket.return_value.close.assert_called_once_with()
