Refuse deeply nested messages, and keep serving after them

Cause: decoding an envelope raised RecursionError for an unknown field that is nested deeply, which is no MsgspecError. A server decodes and encodes outside of the part that catches the errors of its handler, so such a message, or a reply that cannot be encoded, ended the task of its context for good.

Seen: after as many odd messages as it has contexts, an entry or sidecar answered no call any more, while its process went on.

Evidence: the three tests of NestedMessageTests fail before: RecursionError, and no answer to a valid call after three odd ones to a server with two contexts.

The codec returns invalid_message; a reply that cannot be encoded is answered with an internal error; and whatever else is raised is logged and the task goes on.

--- a/src/egretcrank/transport/server.py
+++ b/src/egretcrank/transport/server.py
@@ -65,16 +65,28 @@
             self._busy += 1
             try:
                 reply, call_id = await self._answer(data)
-                encoded = encode(reply, call_id, self._name)
+                encoded = self._encode(reply, call_id)
                 await context.asend(encoded)
                 self._traffic.count_sent(len(encoded))
             except pynng.Closed:
                 return
             except pynng.NNGException as error:
                 logger.warning("reply failed", extra={"error": str(error)})
+            except Exception:
+                # As this task serves its context until the server closes.
+                logger.exception("call failed")
             finally:
                 self._busy -= 1
 
+    def _encode(self, reply: Message, call_id: str) -> bytes:
+        try:
+            return encode(reply, call_id, self._name)
+        except Exception:
+            kind = type(reply).__name__
+            logger.exception("reply cannot be encoded", extra={"message_kind": kind})
+            problem = Problem(ErrorKind.INTERNAL, f"{kind} cannot be encoded")
+            return encode(build_refusal(problem), call_id, self._name)
+
     async def _answer(self, data: bytes) -> tuple[Message, str]:
         match decode(data):
             case Success(Delivery(message, call_id, sent_by)):
--- a/src/egretcrank/wire/envelope.py
+++ b/src/egretcrank/wire/envelope.py
@@ -60,7 +60,7 @@
         """
         try:
             envelope = _envelope_decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return Failure(
                 Problem(
                     ErrorKind.INVALID_MESSAGE,
@@ -81,7 +81,7 @@
             )
         try:
             message = decoder.decode(envelope.body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return Failure(
                 Problem(
                     ErrorKind.INVALID_MESSAGE,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,8 +11,10 @@
 import pynng
 from returns.result import Failure, Success
 
+from bench.addresses import find_address
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.state import AgentState, Identity
+from egretcrank.clock import SystemClock
 from egretcrank.controller import daemon
 from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.daemon import Controller
@@ -59,8 +61,12 @@
 )
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.scheduling.tasks import Job
+from egretcrank.transport.client import Peers
 from egretcrank.transport.leader import LeaderLink, receive_messages
+from egretcrank.transport.server import Server
 from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
+from egretcrank.wire.codec import decode, encode
+from egretcrank.wire.envelope import Envelope
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
     EndedTask,
@@ -68,6 +74,13 @@
     LeaderMoved,
     RunningTask,
 )
+from egretcrank.wire.messages import (
+    Announce,
+    AnnounceReply,
+    DescribeProcess,
+    ProcessStatus,
+    Refused,
+)
 from tests.cases import AsyncTestCase, ManualClock
 from tests.cell_world import QUEUE, World, build_step
 from tests.test_poison import NOW, build_definition
@@ -761,3 +774,58 @@
             socket.return_value.dial.side_effect = pynng.AddressInvalid("", 15)
             self.assertRaises(pynng.AddressInvalid, link.connect, "a")
         socket.return_value.close.assert_called_once_with()
+
+
+# A message of MessagePack that a decoder has to skip, as no kind has the field "odd".
+NESTED_MESSAGE = b"\x81\xa3odd" + b"\x91" * DEPTH + b"\x90"
+
+
+def encode_envelope(body: bytes, kind: str = "HostReport") -> bytes:
+    """Encode a message of a kind with a body that no message has."""
+    return msgspec.msgpack.encode(Envelope(kind=kind, body=msgspec.Raw(body)))
+
+
+class NestedMessageTests(AsyncTestCase):
+    """Messages between processes that are nested deeply."""
+
+    def test_a_nested_message_is_refused(self):
+        """Guards against a message that ends the task or thread that receives it."""
+        for data in (NESTED_MESSAGE, encode_envelope(NESTED_MESSAGE)):
+            problem = HOSTING_CODEC.decode(data).failure()
+            self.assertEqual(problem.kind, ErrorKind.INVALID_MESSAGE)
+            self.assertTrue(problem.where and problem.expected)
+
+    async def _call_after(self, messages: list[bytes]) -> Any:
+        """Return the reply to a call after messages to a server with two tasks."""
+        address = find_address()
+        server = Server("s", address, 2, _answer_oddly)
+        peers = Peers("p", SystemClock())
+        try:
+            for message in messages:
+                with pynng.Req0(recv_timeout=1000, resend_time=60_000) as socket:
+                    socket.dial(f"tcp://{address}")
+                    await socket.asend(message)
+                    reply = decode(await socket.arecv()).unwrap().message
+                    self.assertIsInstance(reply, Refused)
+            return await peers.call(address, DescribeProcess(), timedelta(seconds=5))
+        finally:
+            await peers.close()
+            await server.close()
+
+    def test_a_server_answers_after_nested_messages(self):
+        """Guards against a server each of whose tasks has ended by an odd message."""
+        reply = self.run_async(self._call_after([NESTED_MESSAGE] * 3))
+        self.assertEqual(reply, Success(ProcessStatus()))
+
+    def test_a_server_answers_after_replies_that_cannot_be_encoded(self):
+        """Guards against a server each of whose tasks has ended by an odd reply."""
+        messages = [encode(Announce(), f"call-{n}", "p") for n in range(3)]
+        reply = self.run_async(self._call_after(messages))
+        self.assertEqual(reply, Success(ProcessStatus()))
+
+
+async def _answer_oddly(message: Any, _sent_by: str) -> Any:
+    """Answer an announcement with a number that no message can hold."""
+    if isinstance(message, Announce):
+        return AnnounceReply(version=10**25)
+    return ProcessStatus()
