Keep a controller's link to its hosts going past odd messages

Cause: an exception in decoding or handling a message left the receiving loop of the controller's link, which starts again after 200 ms. Encoding the orders of a host could raise in the loop of decisions, before the orders of the hosts after it were sent. A host's name is part of a record's key, whose length takes one byte: one of over 253 bytes raised in the committer, after it had taken the changes to append.

Seen: reports and callers' records waited behind each odd message; hosts got no orders and no leases; a leader's changes did not reach the log.

Each message is handled on its own, as agents do; orders that cannot be encoded are logged; reports of hosts that no key can name are refused.

--- a/src/egretcrank/controller/link.py
+++ b/src/egretcrank/controller/link.py
@@ -23,6 +23,9 @@
 SEND_TIMEOUT_MILLISECONDS = 200
 SEND_LINGER_SECONDS = 0.05
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
+# Keys of records have up to 255 bytes, and that of a host begins with two others.
+MAX_HOST_NAME_BYTES = 253
+MAX_LOGGED_CHARACTERS = 80
 
 # Called with True if the record is in the log, and with False if it may not be.
 AnswerCallback = Callable[[bool], None]
@@ -73,25 +76,40 @@
             except pynng.NNGException as error:
                 logger.warning("receive failed", extra={"error": str(error)})
                 continue
-            match HOSTING_CODEC.decode(message.bytes):
-                case Success(Delivery(HostReport() as report)):
-                    self._pipes[report.host] = message.pipe
-                    self._on_report(report)
-                case Success(Delivery(AppendRequest() as request)):
-                    self._on_append_request(
-                        request,
-                        partial(self._send_append_answer, message.pipe, request.number),
-                    )
-                case Success(Delivery(LeaderProbe(number))):
-                    status = LeaderStatus(number, self._is_accepting())
-                    self._reply(message.pipe, status)
-                case Success(Delivery(other)):
-                    kind = type(other).__name__
-                    logger.warning("message refused", extra={"message_kind": kind})
-                case Failure(problem):
-                    logger.warning("message refused", extra={"detail": problem.detail})
+            try:
+                self._dispatch(message)
+            except Exception:
+                # As no other thread receives from hosts and controllers.
+                logger.exception("message failed")
         self._socket.close()
 
+    def _dispatch(self, message: pynng.Message) -> None:
+        match HOSTING_CODEC.decode(message.bytes):
+            case Success(Delivery(HostReport(host))) if not _is_host_name(host):
+                logger.warning(
+                    "message refused",
+                    extra={
+                        "detail": f"host name {host[:MAX_LOGGED_CHARACTERS]!r}",
+                        "expected": f"1 to {MAX_HOST_NAME_BYTES} bytes",
+                    },
+                )
+            case Success(Delivery(HostReport() as report)):
+                self._pipes[report.host] = message.pipe
+                self._on_report(report)
+            case Success(Delivery(AppendRequest() as request)):
+                self._on_append_request(
+                    request,
+                    partial(self._send_append_answer, message.pipe, request.number),
+                )
+            case Success(Delivery(LeaderProbe(number))):
+                status = LeaderStatus(number, self._is_accepting())
+                self._reply(message.pipe, status)
+            case Success(Delivery(other)):
+                kind = type(other).__name__
+                logger.warning("message refused", extra={"message_kind": kind})
+            case Failure(problem):
+                logger.warning("message refused", extra={"detail": problem.detail})
+
     def send(self, host: str, message: HostingMessage) -> None:
         """Send a message to a host; a lost message is resent after a later report."""
         pipe = self._pipes.get(host)
@@ -105,6 +123,9 @@
                 "failed to send a message to a host",
                 extra={"host": host, "error": str(error)},
             )
+        except Exception:
+            # The messages to the other hosts follow on the same thread.
+            logger.exception("message cannot be encoded", extra={"host": host})
 
     def _send_append_answer(self, pipe: pynng.Pipe, number: int, stored: bool) -> None:
         self._reply(pipe, AppendAnswer(number, stored))
@@ -120,6 +141,10 @@
         self._closed = True
 
 
+def _is_host_name(name: str) -> bool:
+    return 0 < len(name.encode()) <= MAX_HOST_NAME_BYTES
+
+
 def announce_leader(address: str, message: HostingMessage, name: str) -> bool:
     """Tell one agent over a temporary connection which controller leads.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -18,6 +18,7 @@
 from egretcrank.controller import daemon
 from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.daemon import Controller
+from egretcrank.controller.link import PeerLink
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
 from egretcrank.errors.kinds import ErrorKind
@@ -32,7 +33,7 @@
 from egretcrank.platform.ingress import Ingress
 from egretcrank.platform.manifest import CONFIGURATION_KEY, parse_manifest
 from egretcrank.platform.runner import Runner
-from egretcrank.platform.store import SlotOwner, Store
+from egretcrank.platform.store import SlotOwner, Store, encode_keyed
 from egretcrank.policy.crashes import Crash
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import (
@@ -70,6 +71,7 @@
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
     EndedTask,
+    HostOrders,
     HostReport,
     LeaderMoved,
     RunningTask,
@@ -829,3 +831,58 @@
     if isinstance(message, Announce):
         return AnnounceReply(version=10**25)
     return ProcessStatus()
+
+
+class LinkTests(AsyncTestCase):
+    """Messages of hosts whose processing raises, at a controller."""
+
+    def test_a_failing_message_does_not_stop_the_receiver(self):
+        """Guards against reports that wait for the restart of a controller's loop."""
+        reported: list[str] = []
+        done = threading.Event()
+
+        def handle(report: HostReport) -> None:
+            if report.host == "odd":
+                raise RuntimeError("defect")
+            reported.append(report.host)
+            done.set()
+
+        address = find_address()
+        link = PeerLink(address, "c", handle, lambda *_: None, lambda: True)
+        thread = threading.Thread(target=link.run, daemon=True)
+        thread.start()
+        with pynng.Pair1(polyamorous=True, send_timeout=5000) as socket:
+            socket.dial(f"tcp://{address}")
+            for data in (
+                encode_envelope(NESTED_MESSAGE),
+                HOSTING_CODEC.encode(HostReport(host="odd"), "", "a"),
+                HOSTING_CODEC.encode(HostReport(host="h"), "", "a"),
+            ):
+                socket.send(data)
+            self.assertTrue(done.wait(10))
+        self.assertEqual(reported, ["h"])
+        link.close()
+        thread.join(10)
+        self.assertFalse(thread.is_alive())
+
+    def test_a_report_of_a_host_that_no_key_can_name_is_refused(self):
+        """Guards against a leader that loses its changes as it writes such a host."""
+        reports: list[Any] = []
+        link: Any = PeerLink.__new__(PeerLink)
+        link._pipes = {}
+        link._on_report = reports.append
+        for name in ("", "h" * 254, "\u00e4" * 127, "h" * 10**6, "h" * 253):
+            data = HOSTING_CODEC.encode(HostReport(host=name), "", "a")
+            link._dispatch(Mock(bytes=data))
+        self.assertEqual([report.host for report in reports], ["h" * 253])
+        key = RecordKey(RecordKind.HOST, "h" * 253).format()
+        self.assertTrue(encode_keyed(key, b""))
+
+    def test_orders_that_cannot_be_encoded_hold_up_no_other_host(self):
+        """Guards against one odd number that keeps orders from all later hosts."""
+        link: Any = PeerLink.__new__(PeerLink)
+        link._name = "c"
+        link._pipes = {"odd": Mock(), "h": Mock()}
+        for host, epoch in (("odd", 10**25), ("h", 1)):
+            link.send(host, HostOrders(epoch=epoch))
+        link._pipes["h"].send.assert_called_once()
