Use the valid rows of the log's pages and groups beside odd ones

Cause: a page of newest records, and the rows of a group, were decoded as a whole, and their offsets, ends, partitions and generations had no bounds. A value that is not ASCII raised ValueError, as only binascii.Error was expected.

Seen: with one odd item, a controller that starts never gets ready; with one odd row of a group, joins and the agents' look-ups of the leader fail; an epoch beyond 64 bits cannot be written; after an end of 10**25 a follower asks for records that never come.

Evidence: the six tests of OddPageTests fail before.

Rows are decoded one by one, by what the lists of runners use since. Reading on takes the last key of a page, even of an odd item, and fails in place of reading the same page again.

--- a/src/egretcrank/platform/rows.py
+++ b/src/egretcrank/platform/rows.py
@@ -2,7 +2,7 @@
 
 import logging
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Iterable
 from typing import TypeVar
 
 import msgspec
@@ -19,6 +19,7 @@
 
 BodyT = TypeVar("BodyT")
 CellT = TypeVar("CellT")
+RowT = TypeVar("RowT")
 
 _NESTING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{}]', re.DOTALL)
 _cells_decoder = msgspec.json.Decoder(list[msgspec.Raw])
@@ -72,20 +73,33 @@
     return decode_cell(row, _cells_decoder, [])
 
 
-def log_refused_rows(where: str, rows: Sequence[msgspec.Raw], expected: str) -> None:
-    """Log the rows of a list that are not used, if there are any."""
-    if not rows:
-        return
-    shown = [
-        bytes(row)[:MAX_LOGGED_CHARACTERS].decode("utf-8", "replace")
-        for row in rows[:MAX_LOGGED_ROWS]
-    ]
-    logger.warning(
-        "rows refused",
-        extra={
-            "where": where,
-            "rows": len(rows),
-            "first": shown,
-            "expected": expected,
-        },
-    )
+def parse_rows(
+    rows: Iterable[msgspec.Raw],
+    parse: Callable[[msgspec.Raw], RowT | None],
+    where: str,
+    expected: str,
+) -> tuple[RowT, ...]:
+    """Parse the rows of a list; those that ``parse`` refuses are logged."""
+    parsed = []
+    refused = []
+    for row in rows:
+        value = parse(row)
+        if value is None:
+            refused.append(row)
+        else:
+            parsed.append(value)
+    if refused:
+        logger.warning(
+            "rows refused",
+            extra={
+                "where": where,
+                "rows": len(refused),
+                "first": [_shorten(row) for row in refused[:MAX_LOGGED_ROWS]],
+                "expected": expected,
+            },
+        )
+    return tuple(parsed)
+
+
+def _shorten(row: msgspec.Raw) -> str:
+    return bytes(row)[:MAX_LOGGED_CHARACTERS].decode("utf-8", "replace")
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -1,8 +1,7 @@
 """Client for the runner on the agent's machine."""
 
-from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import Any, NamedTuple, TypeVar
+from typing import Any, NamedTuple
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -20,7 +19,7 @@
     decode_cell,
     decode_cells,
     decode_list_body,
-    log_refused_rows,
+    parse_rows,
 )
 from egretcrank.wire.bounds import Amount, Count
 from egretcrank.wire.hosting import EndedTask, RunningTask, StartOrder
@@ -32,10 +31,11 @@
 MAX_CONNECTIONS = 6
 # Number of ended tasks that a runner lists at a time.
 MAX_LISTED_ENDS = 500
+# What the rows of its lists begin with, in log lines.
+RUN_ROW = "a task and the number of its run"
+END_ROW = "a number, a task, the number of its run, and an outcome"
 INSTANCE_HEADER = "Egretcrank-Expected-Instance"
 
-RowT = TypeVar("RowT")
-
 _name_decoder: msgspec.json.Decoder[str] = msgspec.json.Decoder(Name)
 _count_decoder: msgspec.json.Decoder[int] = msgspec.json.Decoder(Count)
 _checkpoint_decoder: msgspec.json.Decoder[str] = msgspec.json.Decoder(Checkpoint)
@@ -201,32 +201,16 @@
     snapshot = RunnerSnapshot(
         body.clock_ms,
         body.born,
-        _parse_rows(body.running, _parse_running, "running"),
-        _parse_rows(body.ended, _parse_ended, "ended"),
+        parse_rows(body.running, _parse_running, "running", RUN_ROW),
+        parse_rows(body.ended, _parse_ended, "ended", END_ROW),
         len(body.ended) >= MAX_LISTED_ENDS,
     )
     return Success(snapshot)
 
 
-def _parse_rows(
-    rows: Iterable[msgspec.Raw],
-    parse: Callable[[list[msgspec.Raw]], RowT | None],
-    where: str,
-) -> tuple[RowT, ...]:
-    parsed = []
-    refused = []
-    for row in rows:
-        value = parse(decode_cells(row))
-        if value is None:
-            refused.append(row)
-        else:
-            parsed.append(value)
-    log_refused_rows(where, refused, "a task and the number of its run")
-    return tuple(parsed)
-
-
-def _parse_running(cells: list[msgspec.Raw]) -> RunningTask | None:
+def _parse_running(row: msgspec.Raw) -> RunningTask | None:
     """Return the run of a row; a run whose details are invalid still goes on."""
+    cells = decode_cells(row)
     if len(cells) < 2:
         return None
     task = decode_cell(cells[0], _name_decoder, "")
@@ -243,8 +227,9 @@
     )
 
 
-def _parse_ended(cells: list[msgspec.Raw]) -> EndedTask | None:
+def _parse_ended(row: msgspec.Raw) -> EndedTask | None:
     """Return the end of a row; a run whose checkpoint is invalid has still ended."""
+    cells = decode_cells(row)
     if len(cells) < 5:
         return None
     number = decode_cell(cells[0], _count_decoder, -1)
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -1,20 +1,27 @@
 """Client for the platform's log: appends, reads, compacted reads and groups."""
 
 import base64
-import binascii
 import struct
 from collections.abc import Iterable, Sequence
 from datetime import timedelta
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 from urllib.parse import quote
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.platform.bounds import Name
 from egretcrank.platform.calls import HttpClient, Response, decode_body
+from egretcrank.platform.rows import (
+    decode_cell,
+    decode_cells,
+    decode_list_body,
+    parse_rows,
+)
 from egretcrank.scheduling.table import StoredValue
+from egretcrank.wire.bounds import MAX_COUNT, Count
 
 # The store responds in about 4 ms, and in up to sixty times that when it is slow.
 CALL_TIMEOUT = timedelta(seconds=1)
@@ -34,6 +41,15 @@
 # Maximum number of slots per topic of a group; topics of the platform have 8 or 16
 # partitions.
 SLOTS_PER_TOPIC = 64
+# Groups have up to 8 topics. Epochs number the slots of all generations, and are counts
+# as well.
+MAX_SLOTS = 8 * SLOTS_PER_TOPIC
+MAX_GENERATION = MAX_COUNT // MAX_SLOTS - 1
+# What the rows of a group begin with, in log lines.
+PART_ROW = f"a topic and a partition below {SLOTS_PER_TOPIC}"
+
+Partition = Annotated[int, msgspec.Meta(ge=0, lt=SLOTS_PER_TOPIC)]
+Generation = Annotated[int, msgspec.Meta(ge=0, le=MAX_GENERATION)]
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -79,33 +95,52 @@
 
 
 class _AppendBody(msgspec.Struct):
-    offset: int = 0
-    end: int = 0
+    offset: Count = 0
+    end: Count = 0
     reason: str = ""
-    sequence: int = 0
+    sequence: Count = 0
 
 
 class _Item(msgspec.Struct):
     key: str
     value: str
-    offset: int
+    offset: Count
 
 
 class _NewestBody(msgspec.Struct):
-    items: list[_Item]
-    end: int
+    # Items as in ``_Item``.
+    items: list[msgspec.Raw]
+    end: Count
     has_more: bool = False
 
 
 class _JoinBody(msgspec.Struct):
-    generation: int
-    # Tuples of topic, partition and committed offset.
-    parts: list[tuple[str, int, int]] = []
+    generation: Generation
+    # Rows as in ``_Part``, and the committed offset.
+    parts: list[msgspec.Raw] = []
 
 
 class _OwnersBody(msgspec.Struct):
-    # Tuples of topic, partition, member and offset.
-    parts: list[tuple[str, int, str, int]] = []
+    # Rows as in ``_Part``, a member and an offset.
+    parts: list[msgspec.Raw] = []
+
+
+class _Key(msgspec.Struct):
+    key: str
+
+
+class _Part(NamedTuple):
+    """A partition of a topic."""
+
+    topic: str
+    partition: int
+
+
+_item_decoder: msgspec.json.Decoder[_Item | None] = msgspec.json.Decoder(_Item)
+_key_decoder = msgspec.json.Decoder(_Key)
+_name_decoder: msgspec.json.Decoder[str] = msgspec.json.Decoder(Name)
+_member_decoder: msgspec.json.Decoder[str | None] = msgspec.json.Decoder(Name)
+_partition_decoder: msgspec.json.Decoder[int] = msgspec.json.Decoder(Partition)
 
 
 def encode_keyed(key: str, value: bytes) -> bytes:
@@ -170,8 +205,12 @@
                     end = page.end if end < 0 else min(end, page.end)
                     if not page.has_more or not page.items:
                         return Success(LogPage(end, tuple(records)))
+                    last_key = _find_last_key(page.items)
                     # The parameter ``depends_on`` names the last key already read.
-                    next_url = f"{url}&depends_on={quote(page.items[-1].key, safe='')}"
+                    known_url = next_url
+                    next_url = f"{url}&depends_on={quote(last_key, safe='')}"
+                    if not last_key or next_url == known_url:
+                        return _build_endless_read()
                 case Failure(problem):
                     return Failure(problem)
 
@@ -192,13 +231,13 @@
             "generation": generation,
         }
         response = self._post("/-/log-join", body)
-        return response.bind(lambda r: decode_body(r.body, _JoinBody)).map(
+        return response.bind(lambda r: decode_list_body(r.body, _JoinBody)).map(
             lambda joined: Assignment(
                 joined.generation,
                 tuple(
-                    _compute_slot(topics, topic, partition)
-                    for topic, partition, _ in joined.parts
-                    if topic in topics
+                    _compute_slot(topics, part)
+                    for part in parse_rows(joined.parts, _parse_part, "slots", PART_ROW)
+                    if part.topic in topics
                 ),
             )
         )
@@ -213,11 +252,13 @@
         """List the owner of each slot."""
         url = f"/-/log-owners?group={quote(group)}"
         response = self._client.call("GET", url, None, CALL_TIMEOUT).bind(_require_ok)
-        return response.bind(lambda r: decode_body(r.body, _OwnersBody)).map(
+        return response.bind(lambda r: decode_list_body(r.body, _OwnersBody)).map(
             lambda owners: tuple(
-                SlotOwner(_compute_slot(topics, topic, partition), member)
-                for topic, partition, member, _ in owners.parts
-                if topic in topics
+                SlotOwner(_compute_slot(topics, part), member)
+                for part, member in parse_rows(
+                    owners.parts, _parse_owner, "owners", PART_ROW
+                )
+                if part.topic in topics
             )
         )
 
@@ -230,8 +271,25 @@
         self._client.close()
 
 
-def _compute_slot(topics: Sequence[str], topic: str, partition: int) -> int:
-    return topics.index(topic) * SLOTS_PER_TOPIC + partition
+def _compute_slot(topics: Sequence[str], part: _Part) -> int:
+    return topics.index(part.topic) * SLOTS_PER_TOPIC + part.partition
+
+
+def _parse_part(row: msgspec.Raw) -> _Part | None:
+    cells = decode_cells(row)
+    topic, partition, *_ = [*cells, b"", b""]
+    name = decode_cell(topic, _name_decoder, "")
+    number = decode_cell(partition, _partition_decoder, -1)
+    return _Part(name, number) if name and number >= 0 else None
+
+
+def _parse_owner(row: msgspec.Raw) -> tuple[_Part, str] | None:
+    part = _parse_part(row)
+    cells = decode_cells(row)
+    if part is None or len(cells) < 3:
+        return None
+    member = decode_cell(cells[2], _member_decoder, None)
+    return None if member is None else (part, member)
 
 
 def _require_ok(response: Response) -> Result[Response, Problem]:
@@ -322,14 +380,38 @@
 
 
 def _parse_newest(response: Response) -> Result[_NewestBody, Problem]:
-    return _require_ok(response).bind(lambda r: decode_body(r.body, _NewestBody))
+    return _require_ok(response).bind(lambda r: decode_list_body(r.body, _NewestBody))
+
+
+def _find_last_key(items: Sequence[msgspec.Raw]) -> str:
+    """Return the key of the last item that has one."""
+    for item in reversed(items):
+        key = decode_cell(item, _key_decoder, _Key("")).key
+        if key:
+            return key
+    return ""
+
+
+def _build_endless_read() -> Result[LogPage, Problem]:
+    return Failure(
+        Problem(
+            ErrorKind.INVALID_MESSAGE,
+            "a page has no key from which to read on",
+            "store",
+            "items with keys after those of the page before",
+        )
+    )
+
+
+def _parse_item(item: msgspec.Raw) -> _Item | None:
+    return decode_cell(item, _item_decoder, None)
 
 
-def _decode_items(items: Iterable[_Item]) -> Iterable[StoredValue]:
-    for item in items:
+def _decode_items(items: Iterable[msgspec.Raw]) -> Iterable[StoredValue]:
+    for item in parse_rows(items, _parse_item, "items", "a key, a value, an offset"):
         try:
             value = base64.b64decode(item.value, validate=True)
-        except binascii.Error:
+        except ValueError:
             # Cannot be decoded as a record. An empty value would delete the key.
             value = b"\x00"
         yield StoredValue(item.offset, item.key, value)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -18,6 +18,7 @@
 from egretcrank.controller import daemon
 from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.daemon import Controller
+from egretcrank.controller.election import EPOCHS_PER_GENERATION, SLOT_TOPICS
 from egretcrank.controller.link import PeerLink
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
@@ -33,7 +34,14 @@
 from egretcrank.platform.ingress import Ingress
 from egretcrank.platform.manifest import CONFIGURATION_KEY, parse_manifest
 from egretcrank.platform.runner import Runner
-from egretcrank.platform.store import SlotOwner, Store, encode_keyed
+from egretcrank.platform.store import (
+    MAX_GENERATION,
+    MAX_SLOTS,
+    Assignment,
+    SlotOwner,
+    Store,
+    encode_keyed,
+)
 from egretcrank.policy.crashes import Crash
 from egretcrank.policy.slowdown import Slowdowns
 from egretcrank.scheduling.catalog import (
@@ -886,3 +894,94 @@
         for host, epoch in (("odd", 10**25), ("h", 1)):
             link.send(host, HostOrders(epoch=epoch))
         link._pipes["h"].send.assert_called_once()
+
+
+class OddPageTests(AsyncTestCase):
+    """Odd rows and numbers in replies of the platform's log."""
+
+    def read(self, items: bytes, rest: bytes = b"") -> Any:
+        """Read the newest records from a page with these items."""
+        body = b'{"items":[%s],"end":9%s}' % (items, rest)
+        return build_store(body).read_newest("t", 0)
+
+    def test_an_odd_item_leaves_its_neighbours_in_use(self):
+        """Guards against a controller that cannot start as one item is odd."""
+        valid = b'{"key":"j/v","value":"dg==","offset":4}'
+        for odd in (
+            NESTED,
+            b'{"key":"j/o","value":"dg==","offset":%d}' % 10**25,
+            b'{"key":"j/o","value":"dg==","offset":-1}',
+            b'{"key":"j/o","value":"dg==","offset":1e999}',
+            b'{"key":"j/o","value":%s,"offset":4}' % NESTED,
+            b'{"key":7,"value":"dg==","offset":4}',
+            b"null",
+        ):
+            page = self.read(valid + b"," + odd + b"," + valid).unwrap()
+            expected = (StoredValue(4, "j/v", b"v"),) * 2
+            self.assertEqual(page.records, expected, odd[:40])
+
+    def test_a_value_that_is_no_base64_is_no_deletion(self):
+        """Guards against a job that is forgotten, or a read that raises."""
+        for value in ("\u00e4", "a", "====", "a b"):
+            item = msgspec.json.encode({"key": "j/v", "value": value, "offset": 4})
+            page = self.read(item).unwrap()
+            self.assertEqual(page.records, (StoredValue(4, "j/v", b"\x00"),))
+
+    def test_a_read_goes_on_after_an_odd_last_item(self):
+        """Guards against a cold start that ends at, or repeats, the same page."""
+        first = b'{"items":[{"key":"j/a","value":"dg==","offset":1},%s],"end":9'
+        first += b',"has_more":true}'
+        last = b'{"items":[{"key":"j/c","value":"dg==","offset":2}],"end":9}'
+        for odd, key in ((b'{"key":"j/b","offset":-1}', "b"), (b"null", "a")):
+            store: Any = build_store(b"")
+            replies = [Response(200, first % odd), Response(200, last)]
+            store._client = Mock()
+            store._client.call.side_effect = [Success(reply) for reply in replies]
+            page = store.read_newest("t", 0).unwrap()
+            self.assertEqual([r.key for r in page.records], ["j/a", "j/c"])
+            url = store._client.call.call_args.args[1]
+            self.assertIn(f"depends_on=j%2F{key}", url)
+        for items in (b"null", b'{"key":"j/a","value":"dg==","offset":1}'):
+            problem = self.read(items, b',"has_more":true').failure()
+            self.assertEqual(problem.kind, ErrorKind.INVALID_MESSAGE)
+
+    def test_odd_ends_and_offsets_are_failures(self):
+        """Guards against a follower that waits at an offset that never comes."""
+        for end in (b"%d" % 10**25, b"-1", b"1e999", NESTED):
+            read = build_store(b'{"items":[],"end":%s}' % end).read_newest("t", 0)
+            self.assertEqual(read.failure().kind, ErrorKind.INVALID_MESSAGE)
+            reply = b'{"offset":%s,"end":%s}' % (end, end)
+            appended = build_store(reply).append("t", 0, [b"x"])
+            self.assertEqual(appended.failure().kind, ErrorKind.CALL_TIMEOUT)
+
+    def test_an_odd_owner_leaves_its_neighbours_in_use(self):
+        """Guards against an election that fails as another writer's row is odd."""
+        valid = b'["cells",2,"127.0.0.1:1#1#x",0]'
+        for odd in (
+            NESTED,
+            b'["cells",%s,"m",0]' % NESTED,
+            b'["cells",%d,"m",0]' % 10**25,
+            b'["cells",64,"m",0]',
+            b'["cells",-1,"m",0]',
+            b'["cells",1,%s,0]' % NESTED,
+            b'["cells",1,"%s",0]' % (b"m" * 10**6),
+            b'["cells",1]',
+            b"null",
+        ):
+            store = build_store(b'{"parts":[%s,%s]}' % (odd, valid))
+            owners = store.list_owners("g", SLOT_TOPICS).unwrap()
+            self.assertEqual(owners, (SlotOwner(2, "127.0.0.1:1#1#x"),), odd[:40])
+
+    def test_an_odd_slot_or_generation_gives_no_epoch(self):
+        """Guards against an epoch that no record of a leader can hold."""
+        body = b'{"generation":%d,"parts":[["cells",%d,0],["cells",3,0]]}'
+        for partition in (10**25, 64, -1):
+            store = build_store(body % (7, partition))
+            joined = store.join("g", "m", SLOT_TOPICS, timedelta(seconds=1), 0)
+            self.assertEqual(joined, Success(Assignment(7, (3,))))
+        for generation in (10**25, 2**60, -1):
+            store = build_store(body % (generation, 1))
+            joined = store.join("g", "m", SLOT_TOPICS, timedelta(seconds=1), 0)
+            self.assertEqual(joined.failure().kind, ErrorKind.INVALID_MESSAGE)
+        self.assertLess((MAX_GENERATION + 1) * EPOCHS_PER_GENERATION, MAX_COUNT + 1)
+        self.assertEqual(EPOCHS_PER_GENERATION, MAX_SLOTS)
