Refuse deep nesting and large numbers on the path of entries and sidecars

Seen: status 500 for a nested submission; readers that raise at the same page each time; a state that can no longer be stored after a record with a number beyond 64 bits.

--- a/src/egretcrank/cli/http.py
+++ b/src/egretcrank/cli/http.py
@@ -32,7 +32,7 @@
         _exit_with_message(f"{url} is unreachable: {error}", EXIT_UNREACHABLE)
     try:
         document = msgspec.json.decode(reply.data)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         _exit_with_message(
             f"{url} returned status {reply.status} without JSON", EXIT_REFUSED
         )
--- a/src/egretcrank/cli/jobs.py
+++ b/src/egretcrank/cli/jobs.py
@@ -52,7 +52,7 @@
             _exit_with(EXIT_UNKNOWN, f"entry is unreachable: {error}")
         try:
             answer = msgspec.json.decode(response.data, type=dict[str, Any])
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             _exit_with(EXIT_UNKNOWN, f"status {response.status}: {error}")
         if response.status >= 300:
             self._exit_with_problem(answer, response.status)
--- a/src/egretcrank/entry/jobs.py
+++ b/src/egretcrank/entry/jobs.py
@@ -54,7 +54,7 @@
         )
     try:
         submission = msgspec.json.decode(body, type=_Submission)
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Failure(
             Problem(
                 ErrorKind.BAD_REQUEST,
--- a/src/egretcrank/host/worker.py
+++ b/src/egretcrank/host/worker.py
@@ -223,7 +223,7 @@
 def _decode(action: str, data: bytes, kind: type[ReplyT]) -> Result[ReplyT, Problem]:
     try:
         return Success(msgspec.json.decode(data, type=kind))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return _fail(ErrorKind.CALL_TIMEOUT, action, f"reply is malformed: {error}")
 
 
--- a/src/egretcrank/lists/state.py
+++ b/src/egretcrank/lists/state.py
@@ -340,7 +340,7 @@
         """Replace the state by an encoded one; fail with ``invalid_record``."""
         try:
             body = msgspec.json.decode(data, type=_Body)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return _build_state_failure(f"state of the lists is malformed: {error}")
         entries: dict[str, ListEntry] = {}
         for key, fields in body.raw.items():
--- a/src/egretcrank/ownership/state.py
+++ b/src/egretcrank/ownership/state.py
@@ -99,7 +99,7 @@
         """Replace the table with that of a snapshot."""
         try:
             owners = msgspec.msgpack.decode(data, type=tuple[Owner, ...])
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return Failure(_build_problem(f"owners snapshot is malformed: {error}"))
         self._owners = {owner.partition: owner for owner in owners}
         return Success(None)
--- a/src/egretcrank/ownership/work.py
+++ b/src/egretcrank/ownership/work.py
@@ -124,7 +124,7 @@
         """
         try:
             bodies = msgspec.msgpack.decode(data, type=list[_PartitionBody])
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             return Failure(
                 Problem(
                     ErrorKind.INVALID_RECORD,
--- a/src/egretcrank/platform/rows.py
+++ b/src/egretcrank/platform/rows.py
@@ -1,7 +1,6 @@
 """Lists of rows in JSON bodies, of which other writers may have left odd ones."""
 
 import logging
-import re
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
@@ -10,9 +9,8 @@
 
 from egretcrank.errors.kinds import Problem
 from egretcrank.platform.calls import decode_body
+from egretcrank.wire.nesting import cut_nested
 
-# Lists of rows nest three levels deep.
-MAX_LIST_DEPTH = 16
 # Rows of one list that a log line shows, and their length there.
 MAX_LOGGED_ROWS = 3
 MAX_LOGGED_CHARACTERS = 80
@@ -21,7 +19,6 @@
 CellT = TypeVar("CellT")
 RowT = TypeVar("RowT")
 
-_NESTING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[\]{}]', re.DOTALL)
 _cells_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 
 logger = logging.getLogger(__name__)
@@ -35,29 +32,11 @@
     try:
         return Success(msgspec.json.decode(body, type=body_type))
     except RecursionError:
-        return decode_body(_cut_nested(body), body_type)
+        return decode_body(cut_nested(body), body_type)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return decode_body(body, body_type)
 
 
-def _cut_nested(body: bytes) -> bytes:
-    pieces = []
-    depth = position = 0
-    for match in _NESTING.finditer(body):
-        if match[0] in (b"[", b"{"):
-            if depth == MAX_LIST_DEPTH:
-                pieces += [body[position : match.start()], b"null"]
-            depth += 1
-        elif match[0] in (b"]", b"}"):
-            depth -= 1
-            if depth == MAX_LIST_DEPTH:
-                position = match.end()
-    # The rest of a body whose last value has no end is left out.
-    if depth <= MAX_LIST_DEPTH:
-        pieces.append(body[position:])
-    return b"".join(pieces)
-
-
 def decode_cell(
     cell: msgspec.Raw | bytes, decoder: msgspec.json.Decoder[CellT], default: CellT
 ) -> CellT:
--- a/src/egretcrank/stream/client.py
+++ b/src/egretcrank/stream/client.py
@@ -18,6 +18,7 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.transport.threads import ThreadBridge
 from egretcrank.transport.traffic import Traffic
+from egretcrank.wire.nesting import cut_nested
 
 CONNECT_TIMEOUT = timedelta(seconds=2)
 APPEND_TIMEOUT = timedelta(seconds=5)
@@ -184,7 +185,11 @@
 
 def _decode(data: bytes, kind: type[BodyT]) -> Result[BodyT, Problem]:
     try:
-        return Success(msgspec.json.decode(data, type=kind))
+        try:
+            return Success(msgspec.json.decode(data, type=kind))
+        except RecursionError:
+            # The other records of the page can be used.
+            return Success(msgspec.json.decode(cut_nested(data), type=kind))
     except msgspec.MsgspecError as error:
         return Failure(
             Problem(ErrorKind.LOG_UNAVAILABLE, f"unexpected reply: {error}", "log")
--- a/src/egretcrank/stream/records.py
+++ b/src/egretcrank/stream/records.py
@@ -13,6 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.wire.bounds import Integer
 from egretcrank.wire.messages import Executed, Refused, SubmitJob
 
 RECORD_VERSION = 1
@@ -27,7 +28,7 @@
     ``lift``. ``published_at`` is in seconds since 1970, by the clock of the publisher.
     """
 
-    base_revision: int = 0
+    base_revision: Integer = 0
     author: str = ""
     authority: str = "operator"
     override: bool = False
@@ -49,9 +50,9 @@
 
     snapshot_id: str = ""
     scope: str = ""
-    through: int = -1
-    index: int = 0
-    count: int = 1
+    through: Integer = -1
+    index: Integer = 0
+    count: Integer = 1
     digest: str = ""
     data: bytes = b""
     taken_at: float = 0.0
@@ -64,10 +65,10 @@
     It is valid if ``epoch`` is the current epoch of the partition plus one.
     """
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     host: str = ""
-    incarnation: int = 0
+    incarnation: Integer = 0
     address: str = ""
 
 
@@ -78,8 +79,8 @@
     It is ``clean`` if no held attempt of this ownership can be missing from the log.
     """
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     host: str = ""
     clean: bool = False
 
@@ -88,8 +89,8 @@
 class Fence:
     """Makes all later records of lower epochs for ``partition`` void."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     host: str = ""
 
 
@@ -101,8 +102,8 @@
     previous owner. ``completed_at`` is in seconds since 1970.
     """
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     completed_at: float = 0.0
 
 
@@ -114,12 +115,12 @@
     successor recorded. ``claimed_at`` is in seconds since 1970.
     """
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     key: str = ""
-    attempt: int = 0
+    attempt: Integer = 0
     host: str = ""
-    incarnation: int = 0
+    incarnation: Integer = 0
     digest: str = ""
     service: str = ""
     customer: str = ""
@@ -131,10 +132,10 @@
 class KeyOutcome:
     """Outcome of an attempt for a key: a response or an error."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     key: str = ""
-    attempt: int = 0
+    attempt: Integer = 0
     outcome: Executed | None = None
     problem: Refused | None = None
 
@@ -143,8 +144,8 @@
 class JobAccepted:
     """Acceptance of a submitted job; ``job`` is its ID."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
     spec: SubmitJob = field(default_factory=SubmitJob)
     accepted_at: float = 0.0
@@ -154,8 +155,8 @@
 class JobCancelled:
     """Cancellation of the tasks of a job that have not ended."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
 
 
@@ -163,8 +164,8 @@
 class JobAcknowledged:
     """Confirmation that the customer has the results; the job may be deleted."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
 
 
@@ -172,35 +173,35 @@
 class TaskIntent:
     """Intent to start an attempt of a task that must not run twice."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
     task: str = ""
-    attempt: int = 0
+    attempt: Integer = 0
     host: str = ""
-    incarnation: int = 0
+    incarnation: Integer = 0
 
 
 @dataclass(frozen=True, slots=True)
 class TaskNotStarted:
     """Statement that an attempt with a recorded intent did not and will not start."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
     task: str = ""
-    attempt: int = 0
+    attempt: Integer = 0
 
 
 @dataclass(frozen=True, slots=True)
 class TaskCheckpointed:
     """Newest checkpoint of a running attempt."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
     task: str = ""
-    attempt: int = 0
+    attempt: Integer = 0
     checkpoint: str = ""
 
 
@@ -211,11 +212,11 @@
     For example, the attempt was evicted, has failed or was lost.
     """
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
     task: str = ""
-    attempt: int = 0
+    attempt: Integer = 0
     checkpoint: str = ""
     reason: str = ""
 
@@ -224,11 +225,11 @@
 class TaskEnded:
     """Final state of a task: done, failed, cancelled, cannot_run or unknown."""
 
-    partition: int = 0
-    epoch: int = 0
+    partition: Integer = 0
+    epoch: Integer = 0
     job: str = ""
     task: str = ""
-    attempt: int = 0
+    attempt: Integer = 0
     state: str = ""
     result: str = ""
     reason: str = ""
--- a/src/egretcrank/stream/snapshots.py
+++ b/src/egretcrank/stream/snapshots.py
@@ -65,7 +65,7 @@
         )
     try:
         return Success(msgspec.msgpack.decode(state.data, type=StateBody))
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, RecursionError) as error:
         return Failure(
             Problem(
                 ErrorKind.INVALID_RECORD, f"state is malformed: {error}", "snapshot"
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 
 import msgspec
 import pynng
+import xxhash
 from returns.result import Failure, Success
 
 from bench.addresses import find_address
@@ -22,8 +23,13 @@
 from egretcrank.controller.link import PeerLink
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
+from egretcrank.entry.jobs import parse_submission
 from egretcrank.errors.kinds import ErrorKind
+from egretcrank.host import worker
+from egretcrank.lists.state import ListsState
 from egretcrank.observability.metrics import Metrics
+from egretcrank.ownership.state import OwnersState
+from egretcrank.ownership.work import WorkState
 from egretcrank.platform.bounds import MAX_DURATION_MILLISECONDS
 from egretcrank.platform.calls import Response
 from egretcrank.platform.heartbeats import (
@@ -70,6 +76,15 @@
 )
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.scheduling.tasks import Job
+from egretcrank.settings.schema import ClusterSettings
+from egretcrank.stream import client
+from egretcrank.stream.records import (
+    OwnerClaim,
+    build_entry,
+    decode_entry,
+    encode_entry,
+)
+from egretcrank.stream.snapshots import StreamState, read_state
 from egretcrank.transport.client import Peers
 from egretcrank.transport.leader import LeaderLink, receive_messages
 from egretcrank.transport.server import Server
@@ -985,3 +1000,53 @@
             self.assertEqual(joined.failure().kind, ErrorKind.INVALID_MESSAGE)
         self.assertLess((MAX_GENERATION + 1) * EPOCHS_PER_GENERATION, MAX_COUNT + 1)
         self.assertEqual(EPOCHS_PER_GENERATION, MAX_SLOTS)
+
+
+class StreamTests(AsyncTestCase):
+    """Odd bodies, records and snapshots of the older path of entries and sidecars."""
+
+    def test_a_nested_submission_is_refused_as_the_callers_fault(self):
+        """Guards against status 500 for a body that no retry can make valid."""
+        body = insert_nested({"customer": "c", "kind": "k", "tasks": []}, "odd")
+        problem = parse_submission(body, "key").failure()
+        self.assertEqual(problem.kind, ErrorKind.BAD_REQUEST)
+
+    def test_nested_replies_are_failures(self):
+        """Guards against a reader, or a call to a worker, that raises each time."""
+        body = insert_nested({}, "odd")
+        reply: Any = client._decode(body, client._PageBody)
+        self.assertEqual(reply.failure().kind, ErrorKind.LOG_UNAVAILABLE)
+        reply = worker._decode("start", body, worker.Lease)
+        self.assertEqual(reply.failure().kind, ErrorKind.CALL_TIMEOUT)
+
+    def test_a_nested_record_leaves_the_others_of_its_page_in_use(self):
+        """Guards against readers that all stop at the same page."""
+        valid = encode_entry(build_entry(OwnerClaim(1, 2)))
+        records = [
+            {"offset": offset, "record": msgspec.Raw(record)}
+            for offset, record in enumerate((valid, NESTED, valid))
+        ]
+        page = {"first_available": 0, "end": 3, "records": records}
+        decoded = client._decode(msgspec.json.encode(page), client._PageBody).unwrap()
+        found = [decode_entry(bytes(r.record)) for r in decoded.records]
+        self.assertEqual([isinstance(f, Success) for f in found], [True, False, True])
+
+    def test_nested_snapshots_are_refused(self):
+        """Guards against a process that cannot start as a snapshot is odd."""
+        digest = xxhash.xxh64_hexdigest(NESTED_MESSAGE)
+        verdicts: list[Any] = [
+            read_state(StreamState(0, digest, NESTED_MESSAGE)),
+            OwnersState().load_state(b"\x91" + NESTED_MESSAGE),
+            WorkState(ClusterSettings()).load_state(b"\x91" + NESTED_MESSAGE),
+            ListsState().load_state(insert_nested({}, "odd")),
+        ]
+        for verdict in verdicts:
+            self.assertEqual(verdict.failure().kind, ErrorKind.INVALID_RECORD)
+
+    def test_records_with_numbers_that_no_snapshot_can_hold_are_void(self):
+        """Guards against a stream whose state cannot be stored any more."""
+        for number in (10**25, -(10**25), 2**63):
+            body = {"partition": 1, "epoch": number}
+            entry = {"record_id": "r", "kind": "OwnerClaim", "body": body}
+            decoded = decode_entry(msgspec.json.encode(entry))
+            self.assertEqual(decoded.failure().kind, ErrorKind.INVALID_RECORD)
