Bound the numbers of reports where a leader decodes them

Cause: agents of earlier releases report any number of up to 64 bits that their runner lists. A leader counts on from run numbers, 16 at a takeover, and could then encode neither the next order nor the progress of the job, which it writes together with that of all others.

Seen: one run numbered 2**64 - 1 keeps all changes of the cell, and the confirmations of the leadership, from the log.

Evidence: test_a_report_with_numbers_out_of_range_is_refused fails before: the report is decoded. That the append then fails is read from the code, not shown by a run.

The fields hold signed integers of 64 bits.

--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple, get_args
 
+from egretcrank.wire.bounds import Amount
 from egretcrank.wire.envelope import Codec
 
 
@@ -15,7 +16,7 @@
     """A run of a task; the runs of a task are numbered."""
 
     task: str
-    run: int
+    run: Amount
 
 
 class RunningTask(NamedTuple):
@@ -26,7 +27,7 @@
     """
 
     task: str
-    run: int
+    run: Amount
     checkpoint: str
     progress: int
     measurement: float
@@ -35,9 +36,9 @@
 class EndedTask(NamedTuple):
     """An ended run, which the runner keeps until its number is acknowledged."""
 
-    number: int
+    number: Amount
     task: str
-    run: int
+    run: Amount
     outcome: str
     checkpoint: str
 
@@ -74,9 +75,9 @@
     """
 
     task: str
-    run: int
+    run: Amount
     reason: str
-    number: int
+    number: Amount
 
 
 class CrashSuspect(NamedTuple):
@@ -88,12 +89,12 @@
     of the runner has replied; until then the runner may only be silent.
     """
 
-    number: int
+    number: Amount
     task: str
-    run: int
-    born: int
+    run: Amount
+    born: Amount
     age_seconds: float
-    candidates: int
+    candidates: Amount
     confirmed: bool
 
 
@@ -105,14 +106,14 @@
     """
 
     runner_id: str
-    born: int
+    born: Amount
     service: str
     failure_domain: str
     rack: str
     labels: tuple[str, ...]
-    cpu: int
-    memory: int
-    accelerators: int
+    cpu: Amount
+    memory: Amount
+    accelerators: Amount
     draining: bool
     remaining_seconds: float
 
@@ -204,15 +205,15 @@
     host: str = ""
     address: str = ""
     incarnation: str = ""
-    sequence: int = 0
-    epoch: int = 0
-    session: int = 0
-    applied: int = 0
+    sequence: Amount = 0
+    epoch: Amount = 0
+    session: Amount = 0
+    applied: Amount = 0
     sent_at: float = 0.0
     runner: RunnerInfo | None = None
     full: bool = False
     running: tuple[RunningTask, ...] = ()
-    starting: tuple[tuple[str, int], ...] = ()
+    starting: tuple[tuple[str, Amount], ...] = ()
     ended: tuple[EndedTask, ...] = ()
     refused: tuple[RefusedStart, ...] = ()
     pressures: tuple[Pressure, ...] = ()
@@ -265,7 +266,7 @@
 class LeaderMoved:
     """Tells an agent which controller leads its cell, and in which epoch."""
 
-    epoch: int = 0
+    epoch: Amount = 0
     address: str = ""
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -97,6 +97,8 @@
     HostOrders,
     HostReport,
     LeaderMoved,
+    RefusedStart,
+    RunnerInfo,
     RunningTask,
 )
 from egretcrank.wire.messages import (
@@ -856,6 +858,32 @@
     return ProcessStatus()
 
 
+class OddReportTests(AsyncTestCase):
+    """Reports of agents of other releases, which do not check what runners list."""
+
+    def test_a_report_with_numbers_out_of_range_is_refused(self):
+        """Guards against a leader that cannot write the progress of any job."""
+        odd = 2**64 - 1
+        running = RunningTask("a.0.0.0", odd, "", 0, 0.0)
+        ended = EndedTask(1, "a.0.0.0", odd, "done", "")
+        runner = RunnerInfo("r", 1, "s", "z", "r", (), odd, 1, 0, False, 0.0)
+        for report in (
+            HostReport(host="h", running=(running,)),
+            HostReport(host="h", starting=(("a.0.0.0", odd),)),
+            HostReport(host="h", ended=(ended,)),
+            HostReport(host="h", ended=(ended._replace(number=odd, run=1),)),
+            HostReport(host="h", refused=(RefusedStart("a.0.0.0", odd, "", 1),)),
+            HostReport(host="h", runner=runner),
+            HostReport(host="h", runner=runner._replace(cpu=1, born=odd)),
+            HostReport(host="h", sequence=odd),
+            HostReport(host="h", session=odd),
+            LeaderMoved(odd, "127.0.0.1:1"),
+        ):
+            decoded = HOSTING_CODEC.decode(HOSTING_CODEC.encode(report, "", "a"))
+            self.assertEqual(decoded.failure().kind, ErrorKind.INVALID_MESSAGE, report)
+            self.assertIn("Expected `int` <=", decoded.failure().detail)
+
+
 class LinkTests(AsyncTestCase):
     """Messages of hosts whose processing raises, at a controller."""
 
