Take over a cell without a job that cannot be opened

Cause: an exception in opening one job of the log left the opening of the whole cell.

Seen: no controller could lead, as each new leader failed at the same job.

Evidence: test_a_job_that_cannot_be_opened_stops_no_takeover fails before with the exception. The other two tests of LoopTests pass before as well: a loop goes on after whatever it raises, and so does the server for heartbeats.

The job is logged and left out, and its runs are stopped, until a leader can open it.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -137,7 +137,13 @@
             host.granted_until = self._takeover_deadline
             self.hosts[name] = host
         for job_id in list(self._table.jobs):
-            self.apply_job(job_id)
+            try:
+                self.apply_job(job_id)
+            except Exception:
+                # A job that always fails must not keep all controllers from leading.
+                logger.exception("job cannot be opened", extra={"job": job_id})
+                self.jobs.pop(job_id, None)
+                self._open_jobs.pop(job_id, None)
         for job_id in self._table.list_orphaned_crashes():
             self._changes.mark_orphaned_crashes(job_id)
         self._pressures.restore(self._table.pressures)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Tests of odd entries from other writers: nested deeply, too large or out of range."""
 
+import http.client
 import io
 import math
 import threading
@@ -10,6 +11,7 @@
 import msgspec
 import pynng
 import xxhash
+from cheroot.wsgi import Server as CherootServer
 from returns.result import Failure, Success
 
 from bench.addresses import find_address
@@ -85,8 +87,10 @@
     encode_entry,
 )
 from egretcrank.stream.snapshots import StreamState, read_state
+from egretcrank.transport import loops
 from egretcrank.transport.client import Peers
 from egretcrank.transport.leader import LeaderLink, receive_messages
+from egretcrank.transport.loops import start_loop
 from egretcrank.transport.server import Server
 from egretcrank.wire.bounds import MAX_COUNT, MAX_INTEGER
 from egretcrank.wire.codec import decode, encode
@@ -1078,3 +1082,67 @@
             entry = {"record_id": "r", "kind": "OwnerClaim", "body": body}
             decoded = decode_entry(msgspec.json.encode(entry))
             self.assertEqual(decoded.failure().kind, ErrorKind.INVALID_RECORD)
+
+
+class LoopTests(EndpointTestCase):
+    """Threads and loops in which something unexpected is raised."""
+
+    def test_a_loop_goes_on_after_unexpected_errors(self):
+        """Guards against a poll, report, tail or decision thread that ends for good."""
+        errors = [RecursionError(), OverflowError(), UnicodeError(), MemoryError()]
+        returned = threading.Event()
+
+        def loop() -> None:
+            if errors:
+                raise errors.pop(0)
+            returned.set()
+
+        with patch.object(loops, "RESTART_DELAY", timedelta()):
+            start_loop("odd", loop)
+            self.assertTrue(returned.wait(10))
+
+    def test_a_heartbeat_that_fails_does_not_end_its_server(self):
+        """Guards against a server each of whose threads an odd heartbeat has ended."""
+        address = find_address()
+        host, _, port = address.rpartition(":")
+
+        def fail(heartbeat: Heartbeat) -> None:
+            if heartbeat.sequence < 5:
+                raise RecursionError("defect")
+
+        endpoint = HeartbeatEndpoint(fail, lambda _: None)
+        server = CherootServer((host, int(port)), endpoint, numthreads=2, max=2)
+        server.prepare()
+        thread = threading.Thread(target=server.serve, daemon=True)
+        thread.start()
+        statuses = []
+        try:
+            for sequence in range(6):
+                connection = http.client.HTTPConnection(host, int(port), timeout=10)
+                body = msgspec.json.encode({**HEARTBEAT, "sequence": sequence})
+                connection.request("PUT", "/-/instances/r", body)
+                statuses.append(connection.getresponse().status)
+                connection.close()
+        finally:
+            server.stop()
+            thread.join(10)
+        self.assertEqual(statuses, [500] * 5 + [200])
+
+    def test_a_job_that_cannot_be_opened_stops_no_takeover(self):
+        """Guards against a cell that no controller can lead any more."""
+        world = World(41)
+        odd = world.submit(build_step(width=30))
+        world.run(1)
+        restore = Job.restore
+
+        def fail(job: Job, progress: ProgressRecord) -> None:
+            if job.job_id == odd:
+                raise RuntimeError("defect")
+            restore(job, progress)
+
+        with patch.object(Job, "restore", fail):
+            world.leader.fenced = True
+            world.elect()
+            job = world.submit(build_step())
+            world.run(12)
+        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
