Leave the group after a takeover that failed

Cause: the thread of a takeover is a loop, so a takeover that raised was begun again after 200 ms, in the same epoch. The next join, 330 ms after the last, may have begun another by then. Each would fence, open a cell and append under the same epoch.

Seen: nothing yet; a failed takeover was repeated without an end in an epoch whose fence had been written already, so its offset was that of the first.

Evidence: test_a_failed_takeover_leaves_the_group fails before with the exception, which reaches the loop.

The error is logged and the controller leaves the group, as it does when it cannot read up to its fence. Its next join gives a new epoch, or another controller leads.

--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -322,6 +322,11 @@
     def _take_over(self, epoch: int) -> None:
         try:
             self._start_leading(epoch)
+        except Exception:
+            # Not repeated by the thread: the next join may begin another takeover by
+            # then. As after a timeout, the group has to give a new epoch for it.
+            logger.exception("takeover failed", extra={"epoch": epoch})
+            self._election.leave()
         finally:
             with self._lock:
                 if self._pending_epoch == epoch:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1128,6 +1128,20 @@
             thread.join(10)
         self.assertEqual(statuses, [500] * 5 + [200])
 
+    def test_a_failed_takeover_leaves_the_group(self):
+        """Guards against two takeovers of one controller in the same epoch.
+
+        The thread began the failed one again, beside that of the next join.
+        """
+        controller = build_controller()
+        controller._election = Mock()
+        controller._jobs_tail = Mock()
+        controller._pending_epoch = 7
+        controller._start_leading = Mock(side_effect=RuntimeError("defect"))
+        controller._take_over(7)
+        controller._election.leave.assert_called_once_with()
+        self.assertEqual(controller._pending_epoch, 0)
+
     def test_a_job_that_cannot_be_opened_stops_no_takeover(self):
         """Guards against a cell that no controller can lead any more."""
         world = World(41)
