Keep batches of long records below the limit of an append

Cause: a batch took records until their sum passed 1 MiB, so the last one, of up to about as much, came on top. The platform accepts 2 MiB in one append, with the leader's own records.

Seen: with two very long jobs in one batch, the append may be refused; the leader repeats it without an end and cannot confirm its leadership meanwhile.

Evidence: test_a_batch_exceeds_its_limit_only_by_one_record fails before, with batches of two records of 1 MiB. That the platform refuses such an append was not tried.

A record that would pass the limit waits for the next batch.

--- a/src/egretcrank/controller/committer.py
+++ b/src/egretcrank/controller/committer.py
@@ -121,9 +121,11 @@
     def _take_batch(self) -> list[Submission]:
         batch: list[Submission] = []
         size = 0
-        while self._submissions and size < MAX_BATCH_BYTES:
+        while self._submissions:
+            size += len(self._submissions[0].record)
+            if batch and size > MAX_BATCH_BYTES:
+                break
             batch.append(self._submissions.popleft())
-            size += len(batch[-1].record)
         if self._submissions:
             self._wake_event.set()
         return batch
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -4,6 +4,7 @@
 import io
 import math
 import threading
+from collections import deque
 from datetime import UTC, datetime, timedelta
 from typing import Any
 from unittest.mock import Mock, patch
@@ -20,6 +21,7 @@
 from egretcrank.clock import SystemClock
 from egretcrank.controller import daemon
 from egretcrank.controller.candidates import choose_leader
+from egretcrank.controller.committer import MAX_BATCH_BYTES, Committer, Submission
 from egretcrank.controller.daemon import Controller
 from egretcrank.controller.election import EPOCHS_PER_GENERATION, SLOT_TOPICS
 from egretcrank.controller.link import PeerLink
@@ -1160,3 +1162,25 @@
             job = world.submit(build_step())
             world.run(12)
         self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+
+
+class BatchTests(AsyncTestCase):
+    """Records of callers that are too long to be appended together."""
+
+    def test_a_batch_exceeds_its_limit_only_by_one_record(self):
+        """Guards against an append that the platform refuses each time.
+
+        The leader repeats it without an end, and can confirm its leadership no more.
+        """
+        committer: Any = Committer.__new__(Committer)
+        committer._wake_event = threading.Event()
+        sizes = [MAX_BATCH_BYTES - 1, MAX_BATCH_BYTES, 1, 2 * MAX_BATCH_BYTES, 1]
+        committer._submissions = deque(
+            Submission(b"x" * size, lambda _: None) for size in sizes
+        )
+        batches = []
+        while committer._submissions:
+            batches.append([len(s.record) for s in committer._take_batch()])
+        expected = [[size] for size in sizes]
+        self.assertEqual(batches, expected)
+        self.assertTrue(committer._wake_event.is_set())
