Use the lists of a runner after one with an odd clock

Cause: the lists of one runner process were ordered by its clock alone. After one list whose clock was too high, each later one counted as older.

Seen: the agent took its runner for silent until it restarted, and the leader gave the host up, although each poll was answered.

Evidence: test_lists_after_one_with_an_odd_clock_are_used fails before (the runner is silent).

The clock orders the replies to concurrent polls only. The reply to a poll that was sent after the last reply arrived is newer, whatever its clock. Leases may have been set by the odd clock, so runs are stopped before the authority ends, as after a restart.

--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -199,6 +199,13 @@
             self._reset_runner_state()
             self.born = snapshot.born
             changed = True
+        elif self._clock_base is not None and snapshot.clock < self._clock_base[0]:
+            # One of the two clocks is odd, and leases may have been set by it.
+            self._excess_until = received_at + self._lease_bound
+            logger.warning(
+                "clock of the runner went back",
+                extra={"clock_before": self._clock_base[0], "clock": snapshot.clock},
+            )
         self.has_snapshot = True
         self._last_poll_answered = poll > self._unanswered_poll
         self._polls_at_reply = self._polls_sent
@@ -295,8 +302,7 @@
         concurrent = poll <= self._polls_at_reply
         if snapshot.born != self.born:
             return concurrent and snapshot.born < self.born
-        clock = self._clock_base[0]
-        return snapshot.clock < clock or (concurrent and snapshot.clock == clock)
+        return concurrent and snapshot.clock <= self._clock_base[0]
 
     def _recheck_leaving(self, replied_at: timedelta) -> bool:
         """Return whether a runner that was said to have left turns out to go on."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -567,6 +567,23 @@
         state.authority_until = timedelta(seconds=5)
         self.assertIsNotNone(state.compute_lease_deadline(timedelta()))
 
+    def test_lists_after_one_with_an_odd_clock_are_used(self):
+        """Guards against an agent that takes all later lists of its runner for old."""
+        world = World(41)
+        world.run(3)
+        for odd in (10**9, MAX_DURATION_MILLISECONDS, 0):
+            for agent in world.agents.values():
+                poll = agent.send_poll()
+                assert poll is not None
+                snapshot = poll.snapshot._replace(clock=odd)
+                agent.receive(poll._replace(snapshot=snapshot))
+            job = world.submit(build_step())
+            world.run(15)
+            self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+            for agent in world.agents.values():
+                self.assertFalse(agent.state.is_silent(world.now()))
+        self.assertEqual(world.violations, [])
+
     def test_a_list_without_an_end_is_refused(self):
         """Guards against a truncated list that is taken for a complete one."""
         body = b'{"clock_ms":5,"born":1,"running":[' + b"[" * DEPTH
