Test the limits of messages with the agent's own state

The agents of these worlds had a model of the limits of their own, from before agents kept to them. They hold what the state of an agent hands out now.

--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -9,14 +9,12 @@
 
 import msgspec
 
+from egretcrank.agent.state import WaitingStart
 from egretcrank.scheduling.cell import MIN_START_TIME, Cell
 from egretcrank.scheduling.records import Phase
 from egretcrank.wire.hosting import (
     HostOrders,
     NumberedOrder,
-    Run,
-    StartOrder,
-    StopOrder,
 )
 from tests import cell_world
 from tests.cases import AsyncTestCase
@@ -254,78 +252,30 @@
 
 
 class HeldStart(NamedTuple):
-    """A start that an agent has accepted in a session and has yet to carry out."""
+    """A start that an agent sends at ``due_at``, if it still may."""
 
     due_at: timedelta
-    order: StartOrder
-    session: tuple[int, int]
+    waiting: WaitingStart
 
 
 class HoldingAgent(Agent):
-    """Agent that holds starts for a time, and then obeys the limits of the messages."""
+    """Agent that holds each start for a time between taking it and sending it."""
 
     def __init__(self, world: World, runner: Runner, incarnation: int) -> None:
         super().__init__(world, runner, incarnation)
-        self.incarnation = f"i{incarnation}"
         self.held: list[HeldStart] = []
-        self.session = (0, 0)
-        self.start_until = timedelta()
-        self.last_order = 0
 
-    def poll_runner(self) -> None:
-        """Poll the runner, and carry out the starts that are due."""
-        super().poll_runner()
+    def carry_out_orders(self) -> None:
+        """Send the stops and the held starts that are due, and hold new starts."""
+        self.is_held_up = True
+        super().carry_out_orders()
+        while (waiting := self.state.take_start()) is not None:
+            delay = timedelta(seconds=self.world.random.uniform(0, 5))
+            self.held.append(HeldStart(self.world.now() + delay, waiting))
         due = [held for held in self.held if held.due_at <= self.world.now()]
         self.held = [held for held in self.held if held not in due]
         for held in due:
-            refusal = self._find_refusal(held)
-            if refusal:
-                run = Run(held.order.task, held.order.run)
-                self.state.mark_refused(run, refusal)
-            else:
-                self.start(held.order)
-
-    def _find_refusal(self, held: HeldStart) -> str:
-        if not self.state.is_current_session(held.session):
-            return "session is over"
-        if self.world.now() > self.start_until:
-            return "late"
-        if self.state.applied < self.last_order:
-            return "orders are missing"
-        return ""
-
-    def handle_orders(self, message: HostOrders) -> None:
-        """Accept orders, carry stops out, and hold starts."""
-        orders = self.state.accept_orders(message)
-        session = (message.epoch, message.session)
-        is_for_this = message.incarnation == self.incarnation
-        if self.state.is_current_session(session) and is_for_this:
-            self._learn_limits(message)
-        for order in orders:
-            match order:
-                case NumberedOrder(start=StartOrder() as start):
-                    delay = timedelta(seconds=self.world.random.uniform(0, 5))
-                    due_at = self.world.now() + delay
-                    self.held.append(HeldStart(due_at, start, session))
-                case NumberedOrder(stop=StopOrder(task, number)):
-                    self._stop(Run(task, number))
-        self.state.confirm_report(message)
-
-    def _learn_limits(self, message: HostOrders) -> None:
-        assert message.start_seconds is not None
-        until = timedelta(seconds=message.report_sent_at + message.start_seconds)
-        if self.session != (message.epoch, message.session):
-            self.session = (message.epoch, message.session)
-            self.start_until, self.last_order = until, message.last_order
-        self.start_until = max(self.start_until, until)
-        self.last_order = max(self.last_order, message.last_order)
-
-    def _stop(self, run: Run) -> None:
-        held = [h for h in self.held if (h.order.task, h.order.run) != run]
-        if len(held) < len(self.held):
-            self.held = held
-            self.state.mark_refused(run, "withdrawn")
-        self.runner.stop(run.task, run.run, self.token)
+            self.start(held.waiting)
 
 
 class StallFuzz:
