Cancel jobs in the soak, and check what starts afterwards

A fifth of its jobs are cancelled, some before they are handed in, and a start whose call reached a runner more than 3 s after the answer is reported, as is a job that is cancelled without a request. Calls that the stand-in carries out late count from their arrival. It has 24 threads, as an agent keeps up to eight connections.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -37,6 +37,7 @@
             "seed": seed,
             "jobs": len(callers.accepted),
             "refused": len(callers.refused),
+            "cancelled": len(callers.cancelled_at),
             "starts": len(cluster.observer.starts),
             "crashes": len(cluster.observer.crashed),
             "faults": injector.counts,
--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -2,13 +2,16 @@
 
 import http.client
 import itertools
+import math
 import random
 import threading
 import time
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from bench.soak.processes import QUEUE_HOST, QUEUE_PATH, SoakCluster
+from bench.standins.platform_runner import TaskStart
 
 CALLER_THREADS = 4
 PAUSE_SECONDS = (0.1, 0.8)
@@ -28,14 +31,30 @@
 # restart of every process and the work that was lost.
 COMPLETION_TIMEOUT_SECONDS = 45.0
 FINAL_STATES = ("completed", "failed", "cancelled")
+# Share of the jobs that are cancelled, and of those the share that is cancelled before
+# the job is handed in. The others are cancelled some time after their acceptance.
+CANCELLATION_PROBABILITY = 0.2
+EARLY_CANCELLATION_PROBABILITY = 0.3
+CANCELLATION_DELAY_SECONDS = (0.0, 1.5)
+# No task of a job may be started later than this after the answer to its cancellation.
+CANCELLATION_BOUND_SECONDS = 3.0
 
 
-def check_end(job: str, state: str, lost_runs: dict[str, int], deadly: str) -> str:
+def check_end(
+    job: str,
+    state: str,
+    lost_runs: dict[str, int],
+    deadly: str,
+    cancelled: bool = False,
+) -> str:
     """Return what is wrong with the final state of a job, or an empty text.
 
     ``lost_runs`` counts the runs of each task that ended with their runner; ``deadly``
-    is the job's task that crashes its runners.
+    is the job's task that crashes its runners. ``cancelled`` tells that the job was
+    cancelled, with an answer or without one.
     """
+    if cancelled and state == "cancelled":
+        return ""
     if deadly:
         lost = lost_runs.get(deadly, 0)
         if state != "failed":
@@ -45,9 +64,30 @@
     elif state == "failed":
         runs = {t: n for t, n in lost_runs.items() if t.startswith(f"{job}.")}
         return f"{job} is failed, but is innocent; runs lost with runners: {runs}"
+    elif state == "cancelled":
+        return f"{job} is cancelled, and nobody has asked for that"
     return ""
 
 
+def check_cancellations(
+    starts: Iterable[TaskStart], cancelled_at: Mapping[str, float]
+) -> list[str]:
+    """Return the starts that were sent too long after their job was cancelled.
+
+    ``cancelled_at`` has the time of the answer to the cancellation of each job.
+    """
+    problems = []
+    for started in starts:
+        answered_at = cancelled_at.get(started.task.partition(".")[0], math.inf)
+        late = started.arrived_at - answered_at
+        if late > CANCELLATION_BOUND_SECONDS:
+            problems.append(
+                f"{started.task} run {started.run} is started on {started.runner} "
+                f"{late:.2f} s after the cancellation of its job was answered"
+            )
+    return problems
+
+
 class Callers:
     """Submits jobs until told to finish, and records the answers."""
 
@@ -67,6 +107,9 @@
         self.sent: dict[str, str] = {}
         # The deadly tasks of jobs.
         self.deadly: dict[str, str] = {}
+        # Jobs that were to be cancelled, and when this was answered, if it was.
+        self.cancelling: set[str] = set()
+        self.cancelled_at: dict[str, float] = {}
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
 
@@ -77,6 +120,7 @@
 
     def _submit_jobs(self, seed: float) -> None:
         rng = random.Random(seed)
+        cancellations = random.Random(f"cancellations {seed}")
         offset = rng.randrange(DEADLY_JOB_INTERVAL) if self._crashes else -1
         numbers = itertools.cycle(range(DEADLY_JOB_INTERVAL))
         while not self._stopped.wait(rng.uniform(*self._pause)):
@@ -104,7 +148,27 @@
             with self._lock:
                 self.sent[job] = spec
                 self.deadly[job] = f"{job}.{deadly}" if deadly else ""
-            self._submit(job, body, rng)
+            if deadly or cancellations.random() >= CANCELLATION_PROBABILITY:
+                self._submit(job, body, rng)
+            elif cancellations.random() < EARLY_CANCELLATION_PROBABILITY:
+                self._cancel(job, cancellations)
+                self._submit(job, body, rng)
+            else:
+                self._submit(job, body, rng)
+                time.sleep(cancellations.uniform(*CANCELLATION_DELAY_SECONDS))
+                self._cancel(job, cancellations)
+
+    def _cancel(self, job: str, rng: random.Random) -> None:
+        """Retry a cancellation until it is answered."""
+        with self._lock:
+            self.cancelling.add(job)
+        for _ in range(MAX_ATTEMPTS):
+            status, _ = self._call("DELETE", job, None, rng)
+            if status in (200, 410):
+                with self._lock:
+                    self.cancelled_at[job] = time.monotonic()
+                return
+            time.sleep(rng.uniform(0.1, 0.5))
 
     def _submit(self, job: str, body: bytes, rng: random.Random) -> None:
         """Retry a submission until it is answered.
@@ -162,13 +226,21 @@
                 remaining[job] = self._fetch_state(job)
                 if remaining[job] in FINAL_STATES:
                     state = remaining.pop(job)
-                    deadly = self.deadly[job]
-                    problems.append(check_end(job, state, observer.lost_runs, deadly))
+                    problems.append(
+                        check_end(
+                            job,
+                            state,
+                            observer.lost_runs,
+                            self.deadly[job],
+                            job in self.cancelling,
+                        )
+                    )
             time.sleep(0.3)
         problems = [problem for problem in problems if problem]
         problems += [f"{job} is {state} at the end" for job, state in remaining.items()]
         if not self.accepted:
             problems.append("no job was accepted")
+        problems += check_cancellations(observer.starts, self.cancelled_at)
         for started in observer.starts:
             job = started.task.partition(".")[0]
             if job in self.refused:
--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -22,7 +22,7 @@
 import msgspec
 from cheroot.wsgi import Gateway_10, Server
 
-THREADS = 8
+THREADS = 24
 HEARTBEAT_SECONDS = 0.3
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 # Rate of the runner's clock relative to real time; it may be up to 2% slow.
@@ -53,12 +53,13 @@
 
 
 class TaskStart(NamedTuple):
-    """A task start that a runner carried out."""
+    """A task start that a runner carried out; ``arrived_at`` is that of its call."""
 
     runner: str
     task: str
     run: int
     spec: str
+    arrived_at: float = 0.0
 
 
 class _Spec(msgspec.Struct):
@@ -367,6 +368,7 @@
         life = self._life
         length = int(environ.get("CONTENT_LENGTH") or 0)
         body = msgspec.json.decode(environ["wsgi.input"].read(length))
+        body["arrived_at"] = time.monotonic()
         try:
             self._stay_silent(life)
             status, answer = self._handle(environ["PATH_INFO"], body, life)
@@ -446,7 +448,7 @@
         if run <= self._highest_runs.get(task, 0):
             return 409, {"clock_ms": clock, "reason": "old"}
         self._highest_runs[task] = run
-        started = TaskStart(self.name, task, run, body["spec"])
+        started = TaskStart(self.name, task, run, body["spec"], body["arrived_at"])
         self._observer.record_start(self, started)
         spec = _read_spec(body["spec"])
         now = time.monotonic()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 from bench.addresses import find_address
 from bench.soak.__main__ import run_soak
-from bench.soak.callers import check_end
+from bench.soak.callers import check_cancellations, check_end
 from bench.standins.platform_runner import Observer, PlatformRunner, TaskStart
 from tests.cases import AsyncTestCase
 
@@ -156,8 +156,31 @@
             check_end("j", "failed", lost, ""),
             "j is failed, but is innocent; runs lost with runners: {'j.0.0.0': 3}",
         )
+        self.assertEqual(check_end("j", "completed", lost, ""), "")
+
+    def test_a_job_that_is_cancelled_without_a_request_is_reported(self):
+        """Guards against a soak that misses a job which is given up as cancelled."""
+        self.assertEqual(
+            check_end("j", "cancelled", {}, ""),
+            "j is cancelled, and nobody has asked for that",
+        )
         for state in ("completed", "cancelled"):
-            self.assertEqual(check_end("j", state, lost, ""), "")
+            self.assertEqual(check_end("j", state, {}, "", cancelled=True), "")
+
+    def test_a_start_after_the_cancellation_of_its_job_is_reported(self):
+        """Guards against a soak that misses tasks of cancelled jobs."""
+        starts = [
+            TaskStart("r0", "j.0.0.0", 1, SPEC, 12.9),
+            TaskStart("r0", "j.0.0.1", 2, SPEC, 13.5),
+            TaskStart("r0", "k.0.0.0", 1, SPEC, 99.0),
+        ]
+        self.assertEqual(
+            check_cancellations(starts, {"j": 10.0}),
+            [
+                "j.0.0.1 run 2 is started on r0 3.50 s after the cancellation of its "
+                "job was answered"
+            ],
+        )
 
     def test_a_deadly_job_that_did_not_fail_is_reported(self):
         """Guards against a soak that accepts any end of a deadly job."""
