--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -349,7 +349,7 @@
         self.assertEqual(self.put(body), "200 OK")
 
     def test_a_heartbeat_of_negative_length_is_refused(self):
-        """Guards against a thread that reads until its peer closes the connection."""
+        """Guards against an error of the server, which cannot read such a length."""
         self.assertEqual(self.put(b"", length="-5"), "400 Bad Request")
 
 
