Send each stop once before any is sent again

A stop that the runner does not answer takes 600 ms and was due again after 500 ms, so the same two runs took both threads, and other cancelled tasks ran on.

--- /dev/null
+++ b/tests/test_withdrawn_review.py
@@ -0,0 +1,46 @@
+"""Tests of stops that wait behind others without an answer."""
+
+from datetime import timedelta
+
+from egretcrank.agent.stops import STOP_RESEND_DELAY, StopList
+from tests.cases import AsyncTestCase
+from tests.test_withdrawn_orders import build_run
+
+RUNS = [build_run(i) for i in range(20)]
+
+
+class StopOrderTests(AsyncTestCase):
+    """Which stop is sent next."""
+
+    def test_a_stop_that_was_never_sent_comes_before_one_that_is_sent_again(self):
+        """Guards against stops that wait forever behind others without an answer."""
+        stops = StopList()
+        for run in RUNS:
+            stops.add(run)
+        now = timedelta(seconds=1)
+        sent = []
+        for _ in RUNS:
+            sent.append(stops.take((), now))
+            now += STOP_RESEND_DELAY
+        self.assertEqual(sent, RUNS)
+
+    def test_stops_are_sent_again_in_turn(self):
+        """Guards against one run that takes the turns of others that have to stop."""
+        stops = StopList()
+        for run in RUNS[:3]:
+            stops.add(run)
+        now = timedelta(seconds=1)
+        sent = []
+        for _ in range(9):
+            sent.append(stops.take((), now))
+            now += STOP_RESEND_DELAY
+        self.assertEqual(sent, RUNS[:3] * 3)
+
+    def test_runs_whose_lease_lasts_too_long_get_their_turn(self):
+        """Guards against a run that goes on as a stop of another has no answer."""
+        stops = StopList()
+        stops.add(RUNS[0])
+        now = timedelta(seconds=1)
+        self.assertEqual(stops.take((RUNS[1],), now), RUNS[0])
+        now += STOP_RESEND_DELAY
+        self.assertEqual(stops.take((RUNS[1],), now), RUNS[1])
