Send paces that wait before those without an answer

Each list of runs put the unanswered paces in front, and one arrives during each call of 600 ms without an answer: from the third task on none got its pace.

--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -250,12 +250,17 @@
     # Paces
 
     def set_paces(self, changes: Iterable[PaceChange]) -> None:
-        """Send paces; a newer pace of a run replaces one that was not sent yet."""
+        """Send paces; a newer pace of a run replaces one that was not sent yet.
+
+        Paces without an answer are sent again after those that wait, as they may get
+        none again.
+        """
         with self._lock:
-            self._paces = {**self._unanswered_paces, **self._paces}
-            self._unanswered_paces.clear()
             for change in changes:
                 self._paces[Run(change.task, change.run)] = change.percent
+            for run, percent in self._unanswered_paces.items():
+                self._paces.setdefault(run, percent)
+            self._unanswered_paces.clear()
             if self._paces:
                 self._paces_due.notify()
 
--- a/tests/test_withdrawn_review.py
+++ b/tests/test_withdrawn_review.py
@@ -1,10 +1,14 @@
-"""Tests of stops that wait behind others without an answer."""
+"""Tests of stops and paces that wait behind others without an answer."""
 
 from datetime import timedelta
+from typing import Any
+from unittest.mock import patch
 
+from egretcrank.agent.pace import PaceChange
 from egretcrank.agent.stops import STOP_RESEND_DELAY, StopList
+from egretcrank.wire.hosting import RunningTask
 from tests.cases import AsyncTestCase
-from tests.test_withdrawn_orders import build_run
+from tests.test_withdrawn_orders import WithdrawnOrderCase, build_run
 
 RUNS = [build_run(i) for i in range(20)]
 
@@ -44,3 +48,26 @@
         self.assertEqual(stops.take((RUNS[1],), now), RUNS[0])
         now += STOP_RESEND_DELAY
         self.assertEqual(stops.take((RUNS[1],), now), RUNS[1])
+
+
+class PaceOrderTests(WithdrawnOrderCase):
+    """Which pace is sent next."""
+
+    def test_a_pace_is_sent_again_only_after_those_that_wait(self):
+        """Guards against a task that is never slowed down behind one that hangs."""
+        self.runner.running = tuple(RunningTask(*run, "", 0, 0.0) for run in RUNS[:3])
+        self.poll()
+        self.runner.release()
+        executor = self.agent._executor
+        set_pace = self.runner.set_pace
+
+        def poll_meanwhile(*args: Any) -> Any:
+            # A list of the runs arrives during each call without an answer.
+            executor.set_paces([])
+            return set_pace(*args)
+
+        with patch.object(self.runner, "set_pace", poll_meanwhile):
+            executor.set_paces([PaceChange(*run, 50) for run in RUNS[:3]])
+            self.assertTrue(self.runner.wait_for(self.runner.paces, 6))
+            sent = [run for run, _ in self.runner.paces[:6]]
+        self.assertEqual(sent, RUNS[:3] * 2)
