Keep the stops of starts that the next runner process confirmed

A start that was confirmed before the first list of a restarted runner may be carried out there. Its stop was forgotten with that list, and a lost one never sent again.

--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -359,7 +359,8 @@
         self.durable_ends = 0
         self._seen_ends = 0
         self._clock_base = None
-        self._stops.restart(self._starting.keys())
+        # Starts that were confirmed before the first list may be of this process.
+        self._stops.restart({*self._starting, *self._started})
         self._running.clear()
         self._ended.clear()
         self._request_full_report()
--- a/tests/test_withdrawn_review.py
+++ b/tests/test_withdrawn_review.py
@@ -6,6 +6,7 @@
 
 from egretcrank.agent.pace import PaceChange
 from egretcrank.agent.stops import STOP_RESEND_DELAY, StopList
+from egretcrank.platform.runner import RunnerSnapshot
 from egretcrank.wire.hosting import RunningTask
 from tests.cases import AsyncTestCase
 from tests.test_withdrawn_orders import WithdrawnOrderCase, build_run
@@ -71,3 +72,25 @@
             self.assertTrue(self.runner.wait_for(self.runner.paces, 6))
             sent = [run for run, _ in self.runner.paces[:6]]
         self.assertEqual(sent, RUNS[:3] * 2)
+
+
+class RestartTests(WithdrawnOrderCase):
+    """Stops beside a runner that starts again."""
+
+    def test_a_stop_of_a_run_of_the_next_process_is_sent_again(self):
+        """Guards against a cancelled task that goes on behind a restart.
+
+        The next process carries the start out before the agent receives a list of it.
+        """
+        state = self.agent._state
+        state.mark_started(RUNS[0], self.clock.boottime(), 1)
+        self.stop(0)
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 1))
+        running = (RunningTask(*RUNS[0], "", 0, 0.0),)
+        state.apply_snapshot(
+            RunnerSnapshot(10, 2, running, ()),
+            self.clock.boottime(),
+            state.begin_poll(),
+        )
+        self.clock.advance(STOP_RESEND_DELAY)
+        self.assertEqual(state.take_stop(self.clock.boottime()), RUNS[0])
