Test what happens to an order between its turn and its call

Found by mutations that the tests did not see: the checks for a stop, for a missing message and for the session in permit_start, the limit that ends with its session, the refusals before a report, and the host that is not avoided after a withdrawn start.

--- a/tests/test_withdrawn_review.py
+++ b/tests/test_withdrawn_review.py
@@ -1,15 +1,30 @@
-"""Tests of stops and paces that wait behind others without an answer."""
+"""Tests of orders and paces that wait behind calls without an answer."""
 
 from datetime import timedelta
 from typing import Any
 from unittest.mock import patch
 
+from returns.result import Failure, Result, Success
+
 from egretcrank.agent.pace import PaceChange
+from egretcrank.agent.state import (
+    OUTDATED,
+    SESSION_OVER,
+    StartPermit,
+    WaitingStart,
+)
 from egretcrank.agent.stops import STOP_RESEND_DELAY, StopList
 from egretcrank.platform.runner import RunnerSnapshot
-from egretcrank.wire.hosting import RunningTask
+from egretcrank.wire.hosting import WITHDRAWN, HostReport, RunningTask, StartOrder
 from tests.cases import AsyncTestCase
-from tests.test_withdrawn_orders import WithdrawnOrderCase, build_run
+from tests.cell_world import World, build_step
+from tests.test_stale_views import find_cell
+from tests.test_withdrawn_orders import (
+    CONCURRENT_STARTS,
+    PROFILE,
+    WithdrawnOrderCase,
+    build_run,
+)
 
 RUNS = [build_run(i) for i in range(20)]
 
@@ -94,3 +109,94 @@
         )
         self.clock.advance(STOP_RESEND_DELAY)
         self.assertEqual(state.take_stop(self.clock.boottime()), RUNS[0])
+
+
+class PermissionTests(WithdrawnOrderCase):
+    """What happens between the turn of a start and its call."""
+
+    def take_start(self, index: int) -> WaitingStart:
+        """Return a start whose turn has come, while all threads for starts hang."""
+        self.start(*range(CONCURRENT_STARTS))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
+        self.start(index)
+        waiting = self.agent._state.take_start()
+        assert waiting is not None
+        self.assertEqual(waiting.run, RUNS[index])
+        return waiting
+
+    def ask(self, waiting: WaitingStart) -> Result[StartPermit, str]:
+        return self.agent._state.permit_start(waiting, self.clock.boottime())
+
+    def test_a_start_is_permitted_at_its_turn(self):
+        """Guards against tests of refusals that would be refused anyway."""
+        self.assertIsInstance(self.ask(self.take_start(9)), Success)
+
+    def test_a_stop_at_the_turn_of_a_start_withdraws_it(self):
+        """Guards against a start that is sent as its stop came just before the call."""
+        waiting = self.take_start(9)
+        self.stop(9)
+        self.assertEqual(self.ask(waiting), Failure(WITHDRAWN))
+        self.assertTrue(self.runner.wait_for(self.runner.stops, 1))
+
+    def test_a_start_is_not_sent_if_a_message_is_missing_at_its_turn(self):
+        """Guards against a start whose stop was in a message that was just lost."""
+        waiting = self.take_start(9)
+        self.send(last_order=self.applied + 1)
+        self.assertEqual(self.ask(waiting), Failure(OUTDATED))
+
+    def test_a_start_of_a_former_session_is_refused_at_its_turn(self):
+        """Guards against a start by order of a leader that was just replaced."""
+        waiting = self.take_start(9)
+        self.applied, self.session = 0, 2
+        self.send()
+        self.assertEqual(self.ask(waiting), Failure(SESSION_OVER))
+
+    def test_the_time_that_a_former_leader_set_ends_with_its_session(self):
+        """Guards against starts of a leader with an old view on the time of another."""
+        self.send(start_seconds=5.0)
+        self.applied, self.session = 0, 2
+        self.send(start_seconds=0.0)
+        order = StartOrder(*RUNS[9], "", "", "", PROFILE)
+        now = self.clock.boottime()
+        waiting = WaitingStart(order, (1, 2), now)
+        self.assertEqual(self.ask(waiting), Failure(OUTDATED))
+
+
+class ReportedRefusalTests(WithdrawnOrderCase):
+    """What leaders learn of starts that were refused before their turn."""
+
+    def test_a_report_refuses_the_starts_that_are_out_of_date(self):
+        """Guards against tasks that wait behind calls without an answer."""
+        self.start(*range(CONCURRENT_STARTS))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
+        self.start(9)
+        self.send(start_seconds=1.0)
+        self.clock.advance(timedelta(seconds=1))
+        reports: list[HostReport] = []
+
+        def send(report: HostReport) -> None:
+            reports.append(report)
+            self.agent._stopping.set()
+
+        self.agent._report_due.set()
+        with (
+            patch.object(self.agent, "_update_connection"),
+            patch.object(self.agent._link, "send", send),
+        ):
+            self.agent._run_reports()
+        refused = [(r.task, r.reason) for r in reports[0].refused]
+        self.assertEqual(refused, [(RUNS[9].task, OUTDATED)])
+
+    def test_a_host_whose_start_was_withdrawn_takes_others_at_once(self):
+        """Guards against half a second without starts after each cancellation."""
+        world = World(321, hosts=1)
+        world.run(2)
+        world.agents["h0"].is_held_up = True
+        job = world.submit(build_step(width=1))
+        world.run(0.3)
+        host = find_cell(world).hosts["h0"]
+        self.assertEqual(len(host.tasks), 1)
+        world.cancel(job)
+        world.run(0.3)
+        self.assertEqual((world.starts, host.tasks), ([], set()))
+        self.assertEqual(host.avoid_until, timedelta())
