--- a/tests/test_tail.py
+++ b/tests/test_tail.py
@@ -153,6 +153,11 @@
         tail = self._follow((0, 0), (2, 1), (3, 1), (4, 1))
         self.assertEqual(tail.get_view_age(), 2 * READ_TIME)
 
+    def test_later_pages_do_not_put_the_end_off_that_proves_a_read(self):
+        """Guards against a busy log whose view is never proven while it is read."""
+        tail = self._follow((0, 0), (4, 1), (6, 2), (9, 1))
+        self.assertEqual(tail.get_view_age(), 3 * READ_TIME)
+
     def test_a_compacted_read_is_proven_up_to_its_lowest_end(self):
         """Guards against a new controller whose view counts as unknown."""
         tail = self._follow((5, 3))
--- a/tests/test_withdrawn_review.py
+++ b/tests/test_withdrawn_review.py
@@ -56,6 +56,16 @@
             now += STOP_RESEND_DELAY
         self.assertEqual(sent, RUNS[:3] * 3)
 
+    def test_a_stop_is_sent_once_though_its_run_is_not_listed(self):
+        """Guards against a late start by order of a former agent process."""
+        stops = StopList()
+        stops.add(RUNS[0])
+        stops.keep(())
+        now = timedelta(seconds=1)
+        self.assertEqual(stops.take((), now), RUNS[0])
+        stops.keep(())
+        self.assertIsNone(stops.take((), now + STOP_RESEND_DELAY))
+
     def test_runs_whose_lease_lasts_too_long_get_their_turn(self):
         """Guards against a run that goes on as a stop of another has no answer."""
         stops = StopList()
