Test how starts and paces without an answer are settled

Found by mutations that the tests did not see: a poll without a higher token, an old pace that is repeated after a newer one, paces that the runner has not taken, and a start that fails with an error. Calls that hung ended by themselves after the time for which a test waits, which hid a lost wake-up of the stops.

--- a/tests/test_withdrawn_orders.py
+++ b/tests/test_withdrawn_orders.py
@@ -99,7 +99,8 @@
 
     def _answer(self) -> Result[CommandResult, Problem]:
         with self._changed:
-            self._changed.wait_for(lambda: self._released, PATIENCE_SECONDS)
+            # Without a limit: a call that ended by itself would hide a lost wake-up.
+            self._changed.wait_for(lambda: self._released)
         return Failure(Problem(ErrorKind.CALL_TIMEOUT, "test"))
 
     def release(self) -> None:
--- a/tests/test_withdrawn_review.py
+++ b/tests/test_withdrawn_review.py
@@ -14,7 +14,12 @@
     WaitingStart,
 )
 from egretcrank.agent.stops import STOP_RESEND_DELAY, StopList
-from egretcrank.platform.runner import RunnerSnapshot
+from egretcrank.platform.runner import (
+    FENCED,
+    UNHEALTHY,
+    CommandResult,
+    RunnerSnapshot,
+)
 from egretcrank.wire.hosting import WITHDRAWN, HostReport, RunningTask, StartOrder
 from tests.cases import AsyncTestCase
 from tests.cell_world import World, build_step
@@ -66,6 +71,15 @@
         stops.keep(())
         self.assertIsNone(stops.take((), now + STOP_RESEND_DELAY))
 
+    def test_a_stop_is_sent_to_the_next_runner_process_at_once(self):
+        """Guards against a run that goes on as its stop went to a former process."""
+        stops = StopList()
+        stops.add(RUNS[0])
+        now = timedelta(seconds=1)
+        self.assertEqual(stops.take((), now), RUNS[0])
+        stops.restart(RUNS[:1])
+        self.assertEqual(stops.take((), now), RUNS[0])
+
     def test_runs_whose_lease_lasts_too_long_get_their_turn(self):
         """Guards against a run that goes on as a stop of another has no answer."""
         stops = StopList()
@@ -98,6 +112,97 @@
             sent = [run for run, _ in self.runner.paces[:6]]
         self.assertEqual(sent, RUNS[:3] * 2)
 
+    def test_a_pace_that_the_runner_has_not_taken_is_sent_again(self):
+        """Guards against a task that disturbs others as its runner was unhealthy."""
+        self.runner.running = (RunningTask(*RUNS[0], "", 0, 0.0),)
+        self.poll()
+        executor = self.agent._executor
+        for refusal in (UNHEALTHY, FENCED):
+            answers = [refusal, ""]
+            token = self.agent._token.value
+            sent: list[int] = []
+
+            def set_pace(*args: Any, answers: Any = answers, sent: Any = sent) -> Any:
+                sent.append(args[-1])
+                return Success(CommandResult(0, answers.pop(0)))
+
+            with patch.object(self.runner, "set_pace", set_pace):
+                executor._set_pace(PaceChange(*RUNS[0], 50))
+                self.assertEqual(executor._unanswered_paces, {RUNS[0]: 50})
+                executor._unanswered_paces.clear()
+                executor._set_pace(PaceChange(*RUNS[0], 50))
+                self.assertEqual(executor._unanswered_paces, {})
+            self.assertEqual(sent[0], token)
+            self.assertEqual(sent[1] > token, refusal == FENCED)
+
+    def test_a_pace_without_an_answer_gives_way_to_a_newer_one(self):
+        """Guards against a serving task that is disturbed by a repeated old pace."""
+        self.runner.running = (RunningTask(*RUNS[0], "", 0, 0.0),)
+        self.poll()
+        self.runner.release()
+        executor = self.agent._executor
+        with self.agent._lock:
+            executor._paces[RUNS[0]] = 70
+            executor._set_pace(PaceChange(*RUNS[0], 50))
+            self.assertEqual(executor._paces, {RUNS[0]: 70})
+            self.assertEqual(executor._unanswered_paces, {})
+
+
+class UnansweredStartTests(WithdrawnOrderCase):
+    """Starts that the runner may still carry out."""
+
+    def carry_out_start(self) -> None:
+        state, now = self.agent._state, self.clock.boottime()
+        state._starting[RUNS[0]] = 1
+        order = StartOrder(*RUNS[0], "", "", "", PROFILE)
+        self.agent._executor.carry_out(WaitingStart(order, (1, 1), now))
+
+    def test_a_start_is_settled_by_a_poll_with_a_higher_token(self):
+        """Guards against a refused start that the runner carries out late."""
+        tokens: list[int] = []
+        start, poll = self.runner.start, self.runner.poll
+
+        def note_start(order: StartOrder, deadline: int, token: int) -> Any:
+            tokens.append(token)
+            return start(order, deadline, token)
+
+        def note_poll(*args: Any) -> Any:
+            tokens.append(args[1])
+            return poll(*args)
+
+        self.runner.release()
+        with (
+            patch.object(self.runner, "start", note_start),
+            patch.object(self.runner, "poll", note_poll),
+        ):
+            self.carry_out_start()
+        self.assertEqual(len(tokens), 2)
+        self.assertGreater(tokens[1], tokens[0])
+
+    def test_a_start_that_a_fence_refused_is_sent_again(self):
+        """Guards against starts that are refused beside one that is settled."""
+        tokens: list[int] = []
+
+        def start(order: StartOrder, deadline: int, token: int) -> Any:
+            tokens.append(token)
+            return Success(CommandResult(0, FENCED if len(tokens) == 1 else ""))
+
+        with patch.object(self.runner, "start", start):
+            self.carry_out_start()
+        self.assertEqual(len(tokens), 2)
+        self.assertGreater(tokens[1], tokens[0])
+        self.assertIn(RUNS[0], self.agent._state._started)
+
+    def test_a_start_that_fails_with_an_error_is_settled(self):
+        """Guards against a task that counts as starting for good."""
+        with patch.object(self.runner, "start", side_effect=ValueError):
+            self.carry_out_start()
+        state = self.agent._state
+        report = state.build_report(self.clock.boottime(), self.agent._pace)
+        refused = [(r.task, r.reason) for r in report.refused]
+        self.assertEqual(refused, [(RUNS[0].task, "unanswered")])
+        self.assertEqual(state._starting, {})
+
 
 class RestartTests(WithdrawnOrderCase):
     """Stops beside a runner that starts again."""
