Refuse a cancellation at once while the log is away

A cancellation of an unknown job has waited for an append for its whole time limit since it is stored first, also where the controller knew that neither it nor the leader reaches the log. It is refused like a job now: 503 with a Retry-After, as nothing was sent.

--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -130,10 +130,9 @@
             return Failure(outage)
         key = RecordKey(RecordKind.JOB, definition.job_id)
         value = encode_record(definition)
-        if outage is None:
-            stored = self._append(key, value, time_limit)
-        else:
-            stored = self._append_by_leader(key, value, time_limit)
+        stored = self._store_record(
+            key, value, time_limit, is_log_away=outage is not None
+        )
         logger.info(
             "job submitted",
             extra={
@@ -170,8 +169,17 @@
         entry = self._find_entry(job_id)
         if entry is not None and entry.phase.final:
             return Success(JobState(entry.phase))
+        outage = self._build_outage_problem(job_id)
+        if outage is not None and not self._submissions.probe():
+            logger.info(
+                "cancellation refused",
+                extra={"job": job_id, "retry_after": outage.retry_after},
+            )
+            return Failure(outage)
         key = RecordKey(RecordKind.CANCELLATION, job_id)
-        stored = self._append(key, CANCELLATION_VALUE, time_limit)
+        stored = self._store_record(
+            key, CANCELLATION_VALUE, time_limit, is_log_away=outage is not None
+        )
         logger.info(
             "cancellation",
             extra={"job": job_id, "stored": isinstance(stored, Success)},
@@ -244,6 +252,13 @@
         )
         return Problem(ErrorKind.UNKNOWN_JOB, "no such job")
 
+    def _store_record(
+        self, key: RecordKey, value: bytes, time_limit: timedelta, is_log_away: bool
+    ) -> Result[None, Problem]:
+        if is_log_away:
+            return self._append_by_leader(key, value, time_limit)
+        return self._append(key, value, time_limit)
+
     def _append(
         self, key: RecordKey, value: bytes, time_limit: timedelta
     ) -> Result[None, Problem]:
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -101,6 +101,15 @@
         self.assertEqual(result, Success(JobState(Phase.CANCELLED)))
         self.assertEqual(self.list_appended(), [(f"c/{JOB_ID}", b"1")])
 
+    def test_a_cancellation_is_refused_at_once_while_the_log_is_away(self):
+        """Guards against a caller that waits for an append that cannot succeed."""
+        service = self.build()
+        self.tail.unavailable = True
+        problem = service.cancel(JOB_ID, timedelta(seconds=3)).failure()
+        self.assertEqual(problem.kind, ErrorKind.LOG_UNAVAILABLE)
+        self.assertIsNotNone(problem.retry_after)
+        self.assertEqual(self.list_appended(), [])
+
     def test_a_cancellation_that_is_not_stored_is_not_answered_with_410(self):
         """Guards against a 410 for a cancellation that the job's record can't meet."""
         for response, kind in (
