Count the limit of starts from the report that it names

By the review: the leader's limit lost the age of the report, up to half a second, and on a bound of 1 s or less than 1.3 s nothing was ever placed. The age is added to what the message says, which the agent counts from the sending of that report, and the margins shrink with the bound. Both tests failed before.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -69,8 +69,6 @@
 MAX_DELETED_CANCELLATIONS = 500
 # No task is started on a lease that expires sooner than this.
 MIN_AUTHORITY = timedelta(seconds=1)
-# No task is placed if its agent has less time than this to send the start.
-MIN_START_TIME = timedelta(milliseconds=800)
 
 logger = logging.getLogger(__name__)
 
@@ -750,9 +748,19 @@
         """
         return self._view_proven_at + self._settings.start_limit - now
 
+    def _compute_start_seconds(self, host: HostState, now: timedelta) -> float:
+        """Return the time left to send starts, counted from the host's last report.
+
+        The report was sent before it arrived here, so the count begins early enough.
+        """
+        left = self._compute_start_time(now)
+        if left <= timedelta():
+            return 0.0
+        return (left + now - host.reported_at).total_seconds()
+
     def _check_view(self, now: timedelta) -> None:
         """Note whether the view is recent enough to place tasks."""
-        is_recent = self._compute_start_time(now) >= MIN_START_TIME
+        is_recent = self._compute_start_time(now) >= self._settings.min_start_time
         if is_recent == self._is_view_recent:
             return
         self._is_view_recent = is_recent
@@ -778,7 +786,6 @@
         """Yield the orders and report replies to send now, by host."""
         now = self._clock.boottime()
         authority = self._authority_until - now
-        start_time = self._compute_start_time(now)
         for host in self.hosts.values():
             if not host.incarnation:
                 continue
@@ -818,7 +825,7 @@
                     # Until the host attaches, its last report and its orders may be
                     # of a former session.
                     start_seconds=(
-                        max(0.0, start_time.total_seconds()) if host.attached else 0.0
+                        self._compute_start_seconds(host, now) if host.attached else 0.0
                     ),
                     last_order=host.outbox.last_number if host.attached else 0,
                 ),
--- a/src/egretcrank/scheduling/settings.py
+++ b/src/egretcrank/scheduling/settings.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+# No task is placed if its agent has less time than this to send the start, or less than
+# a third of all the time where that is short.
+MAX_ORDER_TIME = timedelta(milliseconds=800)
+
 
 @dataclass(frozen=True, slots=True)
 class CellSettings:
@@ -28,4 +32,10 @@
     @property
     def start_limit(self) -> timedelta:
         """Return the longest time from the proof of a view to a start based on it."""
-        return self.cancellation_bound - self.cancellation_margin
+        margin = min(self.cancellation_margin, self.cancellation_bound / 4)
+        return self.cancellation_bound - margin
+
+    @property
+    def min_start_time(self) -> timedelta:
+        """Return the shortest time for an order's way that a task is placed with."""
+        return min(MAX_ORDER_TIME, self.start_limit / 3)
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -10,8 +10,10 @@
 import msgspec
 
 from egretcrank.agent.state import WaitingStart
-from egretcrank.scheduling.cell import MIN_START_TIME, Cell
+from egretcrank.controller.tail import URGENT_POLL_TIMEOUT
+from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.records import Phase
+from egretcrank.scheduling.settings import CellSettings
 from egretcrank.wire.hosting import (
     HostOrders,
     NumberedOrder,
@@ -409,13 +411,36 @@
         world = World(314)
         world.run(2)
         world.leader.reads_stall = True
-        limit = world.now() - TICK + SETTINGS.start_limit - MIN_START_TIME
+        limit = world.now() - TICK + SETTINGS.start_limit - SETTINGS.min_start_time
         with patch.object(find_cell(world)._planner, "plan") as plan:
             times = []
             plan.side_effect = lambda _: times.append(world.now())
             world.run(4)
         self.assertEqual(times[-1], limit)
 
+    def test_a_short_bound_leaves_time_between_two_reads(self):
+        """Guards against a leader that never places anything under a short bound."""
+        for seconds in (1, 2, 3, 5):
+            bound = timedelta(seconds=seconds)
+            settings = CellSettings(cancellation_bound=bound)
+            self.assertLess(settings.start_limit, bound)
+            longest_age = settings.start_limit - settings.min_start_time
+            self.assertGreater(longest_age, URGENT_POLL_TIMEOUT, seconds)
+
+    def test_the_limit_counts_from_the_report_that_it_names(self):
+        """Guards against starts that are refused as an order follows a report late."""
+        world = World(9)
+        world.run(2)
+        cell = find_cell(world)
+        with patch.object(cell, "apply_report"):
+            world.run(0.5)
+            world.submit(build_step(width=1))
+            messages = self._capture(world, 0.3)
+        sent = [message for _, message in messages if message.orders]
+        limit = sent[0].report_sent_at + (sent[0].start_seconds or 0.0)
+        left = limit - world.now().total_seconds()
+        self.assertGreater(left, (SETTINGS.start_limit - 4 * TICK).total_seconds())
+
 
 class StartLimitMessageTests(AsyncTestCase):
     """Messages between this release and the previous one."""
