--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -27,7 +27,7 @@
 
 # Starts run concurrently, so that an unanswered one delays few others.
 START_THREADS = 4
-STOP_THREADS = 2
+STOP_THREADS = 4
 POLL_DELAY_AFTER_FAILURE = timedelta(milliseconds=150)
 
 logger = logging.getLogger(__name__)
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -28,7 +28,7 @@
 CALL_TIMEOUT = timedelta(milliseconds=600)
 # Timeout of a poll beyond the wait that it requests.
 POLL_MARGIN = timedelta(milliseconds=900)
-MAX_CONNECTIONS = 8
+MAX_CONNECTIONS = 10
 # Number of ended tasks that a runner lists at a time.
 MAX_LISTED_ENDS = 500
 # Refusals of a command: its fencing token is lower than one that the runner has seen,
--- a/tests/test_withdrawn_orders.py
+++ b/tests/test_withdrawn_orders.py
@@ -8,6 +8,7 @@
 
 from bench.addresses import find_address
 from egretcrank.agent.daemon import Agent
+from egretcrank.agent.execution import START_THREADS, STOP_THREADS
 from egretcrank.agent.pace import PaceChange
 from egretcrank.agent.state import WaitingStart
 from egretcrank.agent.stops import STOP_RESEND_DELAY
@@ -38,8 +39,6 @@
 JOB = "00000000000000a1"
 PROFILE = TaskProfile(100, False, "", 0.0)
 DEMAND = TaskDemand(100, 10, 0)
-# Starts that an agent carries out at the same time.
-CONCURRENT_STARTS = 4
 MAX_TASKS = 20
 # Longest wait for another thread; the tests wait for events, not for this time.
 PATIENCE_SECONDS = 10.0
@@ -184,13 +183,13 @@
 
     def test_a_start_that_waits_is_not_sent_after_its_job_was_cancelled(self):
         """Guards against tasks of cancelled jobs that an agent starts late."""
-        self.start(*range(CONCURRENT_STARTS + 1))
-        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
-        self.stop(CONCURRENT_STARTS)
+        self.start(*range(START_THREADS + 1))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, START_THREADS))
+        self.stop(START_THREADS)
         self.runner.release()
-        self.start(CONCURRENT_STARTS + 1)
-        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS + 1))
-        self.assertNotIn(build_run(CONCURRENT_STARTS), self.runner.starts)
+        self.start(START_THREADS + 1)
+        self.assertTrue(self.runner.wait_for(self.runner.starts, START_THREADS + 1))
+        self.assertNotIn(build_run(START_THREADS), self.runner.starts)
 
 
 class StopTests(WithdrawnOrderCase):
@@ -200,8 +199,8 @@
         """Guards against tasks of cancelled jobs that go on while starts hang."""
         self.runner.running = (RunningTask(*build_run(9), "", 0, 0.0),)
         self.poll()
-        self.start(*range(CONCURRENT_STARTS))
-        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
+        self.start(*range(START_THREADS))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, START_THREADS))
         self.stop(9)
         self.assertTrue(self.runner.wait_for(self.runner.stops, 1))
 
@@ -246,9 +245,9 @@
         self.runner.running = tuple(RunningTask(*run, "", 0, 0.0) for run in runs)
         self.poll()
         self.stop(*range(MAX_TASKS))
-        self.assertTrue(self.runner.wait_for(self.runner.stops, 2))
+        self.assertTrue(self.runner.wait_for(self.runner.stops, STOP_THREADS))
         self.poll()
-        self.assertEqual(len(self.runner.stops), 2)
+        self.assertEqual(len(self.runner.stops), STOP_THREADS)
 
     def test_a_stop_by_a_former_agent_process_reaches_a_run_that_is_not_listed(self):
         """Guards against a late start of a predecessor that nothing stops."""
@@ -317,8 +316,8 @@
         return [(r.task, r.reason, r.number) for r in report.refused]
 
     def hold_up_starts(self) -> None:
-        self.start(*range(CONCURRENT_STARTS))
-        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
+        self.start(*range(START_THREADS))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, START_THREADS))
 
 
 class RefusalTests(RefusalCase):
@@ -330,9 +329,7 @@
         self.start(9)
         self.stop(9)
         task = build_run(9).task
-        self.assertEqual(
-            self.list_refusals(), [(task, "withdrawn", CONCURRENT_STARTS + 1)]
-        )
+        self.assertEqual(self.list_refusals(), [(task, "withdrawn", START_THREADS + 1)])
         self.assertEqual(self.agent._state.waiting_starts, 0)
 
     def test_a_start_of_a_former_session_is_refused_before_its_turn(self):
@@ -347,7 +344,7 @@
         )
         self.runner.release()
         self.start(10)
-        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS + 1))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, START_THREADS + 1))
         self.assertNotIn(build_run(9), self.runner.starts)
 
 
@@ -361,7 +358,7 @@
         self.send(start_seconds=1.0)
         self.clock.advance(timedelta(seconds=1))
         self.agent._state.refuse_outdated_starts(self.clock.boottime())
-        task, number = build_run(9).task, CONCURRENT_STARTS + 1
+        task, number = build_run(9).task, START_THREADS + 1
         refusal = (task, "order is out of date", number)
         self.assertEqual(self.list_refusals(), [refusal])
 
--- a/tests/test_withdrawn_review.py
+++ b/tests/test_withdrawn_review.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
+from egretcrank.agent.execution import START_THREADS
 from egretcrank.agent.pace import PaceChange
 from egretcrank.agent.state import (
     OUTDATED,
@@ -25,7 +26,6 @@
 from tests.cell_world import World, build_step
 from tests.test_stale_views import find_cell
 from tests.test_withdrawn_orders import (
-    CONCURRENT_STARTS,
     PROFILE,
     WithdrawnOrderCase,
     build_run,
@@ -231,8 +231,8 @@
 
     def take_start(self, index: int) -> WaitingStart:
         """Return a start whose turn has come, while all threads for starts hang."""
-        self.start(*range(CONCURRENT_STARTS))
-        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
+        self.start(*range(START_THREADS))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, START_THREADS))
         self.start(index)
         waiting = self.agent._state.take_start()
         assert waiting is not None
@@ -282,8 +282,8 @@
 
     def test_a_report_refuses_the_starts_that_are_out_of_date(self):
         """Guards against tasks that wait behind calls without an answer."""
-        self.start(*range(CONCURRENT_STARTS))
-        self.assertTrue(self.runner.wait_for(self.runner.starts, CONCURRENT_STARTS))
+        self.start(*range(START_THREADS))
+        self.assertTrue(self.runner.wait_for(self.runner.starts, START_THREADS))
         self.start(9)
         self.send(start_seconds=1.0)
         self.clock.advance(timedelta(seconds=1))
