Withdraw the suspicion of a crash once the runner replies

Trials in the world of one cell gave up innocent jobs where starts are carried out late. The same process replies at once, and the agent drops the suspicion, but the leader had no word of that unless a list or an end named the run; a start without effect has neither. Seconds later the runner ends for another cause, and the record counts as a crash right after a start of nothing else. With one true crash beside neighbours that was enough.

A report is `unanswered` now until a reply follows any failed call, not only a failed poll, and a leader withdraws the suspicions of a process with the first report that is answered. An agent of an earlier release sets the field for polls alone; its confirmed suspects replace what is withdrawn too early. Ruled out: the weight of late starts, whose age is an upper bound.

The three new tests failed before. Two tests let the agent poll again before the leader heard of the suspicion, so that it is withdrawn at once and the first waited for ever; the runner does not answer there until the leader has recorded it. What they check is as before.

--- a/src/egretcrank/agent/crashes.py
+++ b/src/egretcrank/agent/crashes.py
@@ -67,6 +67,11 @@
         """Suspects that are not known to be durable."""
         return tuple(self._suspects)
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether a call to the runner has failed since its last reply."""
+        return self._failed_at is not None
+
     def confirm_durable(self, number: int) -> None:
         """Forget the suspects up to ``number``."""
         while self._suspects and self._suspects[0].number <= number:
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -662,7 +662,7 @@
             leaving=self.runner_left,
             silent=self.is_silent(now),
             suspects=self._crash_watch.suspects,
-            unanswered=not self._last_poll_answered,
+            unanswered=not self._last_poll_answered or self._crash_watch.has_failed,
         )
 
     def _is_profiled(self, task: str) -> bool:
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -418,6 +418,7 @@
         host.runner = runner
         if not report.unanswered:
             host.runner_heard_at = host.reported_at
+            self._crashes.retract_all(host, runner.born)
 
     def _confirm_crashes(self, host: HostState, born: int) -> None:
         for step, index in self._crashes.confirm(host, born):
--- a/src/egretcrank/scheduling/crashes.py
+++ b/src/egretcrank/scheduling/crashes.py
@@ -132,6 +132,16 @@
             step.suspects.discard(index)
         self._mark_changed(step, index)
 
+    def retract_all(self, host: HostState, born: int) -> None:
+        """Withdraw the suspected crashes of a host's process, which has replied since.
+
+        Left standing, they would count as crashes with the ages of that time once the
+        process ends, whenever that is.
+        """
+        for step, index in self._unconfirmed.pop(host.name, ()):
+            self.retract(step, index, (host.name, born))
+            self._follow_up(step, index)
+
     def record_unknown(self, placement: Placement, born: int, candidates: int) -> None:
         """Record a run that may have crashed a runner, of which no agent tells.
 
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -197,7 +197,8 @@
     reported, and ``rooms`` the headroom of its serving tasks; both are sent only with
     ``full``. ``unprofiled`` counts the running tasks whose profile or demand the agent
     lacks, as after its restart. ``leaving`` is set once the runner has left and
-    ``silent`` while it does not respond, and ``unanswered`` if its last poll failed.
+    ``silent`` while it does not respond, and ``unanswered`` if a call to it has failed
+    since its last reply.
     ``suspects`` are reported until they are durable on the log.
     """
 
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -183,6 +183,14 @@
         (suspect,) = self.suspects
         self.assertAlmostEqual(suspect.age_seconds, 0.01)
 
+    def test_reports_tell_of_a_failed_call_until_the_next_reply(self):
+        """Guards against a suspicion that is withdrawn before the runner replies."""
+        self.send(DEADLY, 0.4)
+        self.state.mark_start_unanswered(DEADLY, self.at(0.41), may_have_run=True)
+        self.assertTrue(self.report(0.5).unanswered)
+        self.reply(0.6)
+        self.assertFalse(self.report(0.7).unanswered)
+
     def test_silence_does_not_prove_a_run_harmless(self):
         """Guards against losing evidence when a poll fails only after its timeout."""
         self.start(DEADLY, 0.1)
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -51,6 +51,19 @@
     return cell
 
 
+def play_beside_deadly_tasks(world: World) -> list[str]:
+    """Hand in small jobs for 20 s; return the five among them with deadly tasks."""
+    deadly = [submit_deadly(world, width=3)[0] for _ in range(2)]
+    for tick in range(200):
+        if world.random.random() < 0.3:
+            world.submit(build_step(width=world.random.randint(1, 4), cpu=400))
+        if tick % 60 == 30:
+            width = world.random.randint(1, 3)
+            deadly.append(submit_deadly(world, width=width)[0])
+        world.step()
+    return deadly
+
+
 def replace_leader(world: World) -> None:
     world.leader.fenced = True
     world.elect()
@@ -87,6 +100,36 @@
                 innocent = [world.find_phase(j) for j in world.jobs if j not in deadly]
                 self.assertEqual(set(innocent), {Phase.COMPLETED})
 
+    def test_no_innocent_job_is_given_up_for_a_suspicion_that_proved_wrong(self):
+        """Guards against a broken call that counts once its runner ends much later."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = World(seed, hosts=6)
+                world.late_start_probability = 0.15
+                deadly = play_beside_deadly_tasks(world)
+                world.late_start_probability = 0.0
+                world.run(40)
+                self.assertEqual(world.violations, [])
+                failed = [j for j in world.jobs if world.find_phase(j) is Phase.FAILED]
+                self.assertEqual(failed, deadly)
+
+    def test_a_reply_after_a_broken_call_withdraws_the_suspicion(self):
+        """Guards against a record that makes the next end of the runner evidence.
+
+        The start had no effect, so that no list and no end names the run.
+        """
+        world = World(1, hosts=1)
+        world.run(0.5)
+        world.late_start_probability = 1.0
+        job = world.submit(build_step(width=1))
+        world.run(0.5)
+        self.assertGreater(find_cell(world).hosts["h0"].suspects_seen, 0)
+        step = find_cell(world).jobs[job].occurrences[0][0]
+        self.assertEqual(step.tasks[0].crashes, ())
+        self.assertEqual(step.suspects, set())
+        record = world.table.jobs[job].crashes
+        self.assertEqual(record and record.tasks, {})
+
     def test_no_job_is_given_up_where_runners_crash_by_themselves(self):
         """Guards against a job that fails on a day on which hosts crash in turns."""
         for seed in SEEDS:
@@ -232,9 +275,12 @@
         name = next(runner.name for runner in world.runners if runner.running)
         agent = world.agents[name]
         agent.state.mark_unanswered(agent.state.begin_poll(), world.now(), True)
+        # The runner does not answer until the leader has recorded the suspicion.
+        agent.is_polling = False
         step = find_cell(world).jobs[job].occurrences[0][0]
         while not step.tasks[0].crashes:
             world.step()
+        agent.is_polling = True
         crashed = world.runners[int(name[1:])]
         while crashed.running:
             crashed.expire()
@@ -250,9 +296,12 @@
         name = next(runner.name for runner in world.runners if runner.running)
         agent = world.agents[name]
         agent.state.mark_unanswered(agent.state.begin_poll(), world.now(), True)
+        # The runner does not answer until the leader has recorded the suspicion.
+        agent.is_polling = False
         world.run(0.2)
         step = find_cell(world).jobs[job].occurrences[0][0]
         self.assertEqual(step.suspects, {0})
+        agent.is_polling = True
         world.run(3)
         self.assertEqual(step.suspects, set())
         self.assertEqual(step.tasks[0].crashes, ())
