Let no deadly task of the stand-in end well

The stand-in's timer of the crash (5 to 100 ms) had fired later than the end of so short a task. It is a fault of the stand-in, not of the scheduler; the check stays as it is.

A deadly task goes on past its time until its crash, or lapses with its lease. The new test failed before.

--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -521,7 +521,8 @@
         now = time.monotonic()
         lapses_at = self._started_at + self.deadline / 1000 / CLOCK_RATE
         for task, run in list(self.running.items()):
-            if run.ends_at <= min(now, lapses_at):
+            # A deadly task never ends well: the timer of its crash may fire late.
+            if run.ends_at <= min(now, lapses_at) and not run.is_deadly:
                 self._end_run(task, "done")
             elif lapses_at <= now:
                 self._end_run(task, "lapsed")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -59,6 +59,14 @@
         self._start(self.runners[1], "j.0.0.0", run=2)
         self.assertEqual(self.observer.problems, [])
 
+    def test_a_deadly_task_never_ends_done(self):
+        """Guards against an alarm for a task whose timer fires after its time."""
+        runner = self.runners[0]
+        self._start(runner, "j.0.0.0", spec=DEADLY_SPEC)
+        runner.running["j.0.0.0"] = runner.running["j.0.0.0"]._replace(ends_at=0.0)
+        runner.expire()
+        self.assertEqual(set(runner.running), {"j.0.0.0"})
+
     def _acknowledge_an_end(self, seconds):
         """Acknowledge the end of a task ``seconds`` after it, and start it again."""
         runner = self.runners[0]
