Count an announced end as one more cause of a crash

Agents knew that the runner was draining, but asked only whether it had left, which half of the runners say late.

The announced end of a process is one more candidate beside the runs, so that it never weighs more than a half; it is no crash at all if the process has left, too. An unregistration without a drain excuses nothing, as it may be a late one of a former process.

--- a/src/egretcrank/agent/crashes.py
+++ b/src/egretcrank/agent/crashes.py
@@ -58,6 +58,8 @@
         self._unconfirmed_others = 0
         # The process that has left, so that its end is no crash.
         self._left: int | None = None
+        # The process that has announced its end, which comes at any time then.
+        self._draining: int | None = None
         self._last_number = 0
         self._suspects: deque[CrashSuspect] = deque()
         self._crashes: list[Crash] = []
@@ -124,6 +126,13 @@
         """Record that the runner process ``born`` has left."""
         self._left = born
 
+    def mark_draining(self, born: int, is_draining: bool) -> None:
+        """Record whether the runner process ``born`` has announced its end."""
+        if is_draining:
+            self._draining = born
+        elif self._draining == born:
+            self._draining = None
+
     def forget(self, run: Run) -> None:
         """Record that a run has ended, or that its start had no effect."""
         self._attempts.pop(run, None)
@@ -159,6 +168,7 @@
         self._unconfirmed |= found
         self._unconfirmed_others = max(self._unconfirmed_others, others)
         candidates = len(self._unconfirmed) + self._unconfirmed_others
+        candidates += born == self._draining
         self._add_suspects(found, born, candidates, confirmed=False)
         logger.warning(
             "runner may have crashed",
@@ -182,14 +192,19 @@
         """Name the suspects among the runs of the process ``born_before``.
 
         The process ``born`` has replied. ``listed`` are the runs that it lists as
-        running or ended, so these were not on the former process.
+        running or ended, so these were not on the former process. An end that was
+        announced is one more candidate, and no crash if the process has left, too.
         """
         lost = set(runs) - set(listed)
         found, others = self._find_suspects(lost, now)
         found = {r: a for r, a in self._unconfirmed.items() if r not in listed} | found
+        is_announced = self._draining == born_before
+        if is_announced and self._left == born_before:
+            found = {}
         others = max(others, self._unconfirmed_others)
         youngest_age = self._find_youngest_age(lost, now)
-        self._add_suspects(found, born_before, len(found) + others, confirmed=True)
+        candidates = len(found) + others + is_announced
+        self._add_suspects(found, born_before, candidates, confirmed=True)
         for run, attempt in self._attempts.items():
             if run in listed:
                 attempt.begun_by = None
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -157,6 +157,7 @@
             if self.runner_left and runner.born == known.born:
                 return False
         self.runner = runner
+        self._crash_watch.mark_draining(runner.born, runner.draining)
         self._heartbeat_sequence = sequence
         self.runner_left = False
         return True
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -503,6 +503,51 @@
         self.assertEqual([s.task for s in confirmed], [DEADLY.task, unanswered.task])
         self.assertEqual({s.candidates for s in self.suspects}, {2})
 
+    def announce_end(self) -> RunnerInfo:
+        """Let the runner drain right after a start; return how it described itself."""
+        info = RunnerInfo("r1", FORMER, "s", "", "", (), 1, 1, 0, False, 0.0)
+        self.state.update_runner(info, 1)
+        self.start(DEADLY, 0.1)
+        self.state.update_runner(info._replace(draining=True), 2)
+        return info
+
+    def test_an_announced_end_is_one_more_candidate(self):
+        """Guards against a run that is the only one to blame as its runner leaves."""
+        info = self.announce_end()
+        poll = self.state.begin_poll()
+        self.state.mark_unanswered(poll, self.at(0.11), is_broken=True)
+        self.state.update_runner(info._replace(born=NEXT), 1)
+        self.reply(3.4, born=NEXT)
+        found = [(s.task, s.confirmed, s.candidates) for s in self.suspects]
+        expected = [(DEADLY.task, False, 2), (DEADLY.task, True, 2)]
+        self.assertEqual(found, expected)
+        self.start(OTHER, 3.5)
+        self.fail_poll(3.51)
+        self.reply(6.8, born=NEXT + 1)
+        self.assertEqual(self.suspects[-1].candidates, 1)
+
+    def test_an_announced_end_after_which_the_runner_has_left_is_no_crash(self):
+        """Guards against a start that is blamed for the end of a runner that left."""
+        info = self.announce_end()
+        self.fail_poll(0.11)
+        self.state.mark_runner_left("r1")
+        self.state.update_runner(info._replace(born=NEXT), 1)
+        self.reply(3.4, born=NEXT)
+        self.assertEqual(self.suspects, [])
+        self.assertEqual(self.state.take_crashes(), [])
+
+    def test_a_late_unregistration_of_a_former_process_excuses_no_crash(self):
+        """Guards against losing evidence of the next process, which has not left."""
+        info = self.announce_end()
+        self.state.update_runner(info._replace(born=NEXT), 1)
+        self.reply(3.4, born=NEXT)
+        self.state.mark_runner_left("r1")
+        self.start(OTHER, 3.5)
+        self.fail_poll(3.51)
+        self.reply(6.8, born=NEXT + 1)
+        last = self.suspects[-1]
+        self.assertEqual((last.task, last.candidates), (OTHER.task, 1))
+
     def test_a_planned_end_is_no_crash(self):
         """Guards against counting a crash for each runner that leaves."""
         info = RunnerInfo("r1", FORMER, "s", "", "", (), 1, 1, 0, False, 0.0)
