Try suspects only where agent and leader know which runs have lasted

A trial tells little if any other run may be the cause of its crash. After a restart of an agent all runs of its runner were candidates again ("others" in its log), and a new leader did not know which starts its predecessor had sent.

The new test failed before. A test that makes a host quiet sets both times now; what it checks is as before.

--- a/src/egretcrank/scheduling/trials.py
+++ b/src/egretcrank/scheduling/trials.py
@@ -201,7 +201,9 @@
         )
 
     def _is_quiet(self, host: HostState) -> bool:
-        since_start = self._clock.boottime() - host.last_start_at
+        # A new agent process knows no start of its predecessor, nor a new leader, so
+        # each run may be a candidate for as long as if it had just been started.
+        since_start = self._clock.boottime() - max(host.last_start_at, host.attached_at)
         return since_start >= QUIET_TIME and not len(host.outbox)
 
     def _try(self, group: Group) -> None:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -20,6 +20,7 @@
 from egretcrank.scheduling.tasks import StepState
 from egretcrank.scheduling.trials import (
     FULL_REPORT_INTERVAL,
+    QUIET_TIME,
     TRIAL_TIME,
     Suspect,
 )
@@ -400,7 +401,7 @@
         cell = find_cell(world)
         step = cell.jobs[job].occurrences[0][0]
         step.suspects.add(0)
-        other.last_start_at = timedelta()
+        other.last_start_at = other.attached_at = timedelta()
         self.assertEqual(trials.plan([step], [other]), [])
         self.assertEqual(len(trials._trials), 2)
 
@@ -423,6 +424,20 @@
             host = trials._choose_host(suspect, cell.hosts.values())
             self.assertIs(host, chosen)
 
+    def test_a_trial_waits_until_a_new_agent_process_knows_the_runs(self):
+        """Guards against a trial that tells little, as each run may be the cause."""
+        world = World(30, hosts=2)
+        world.run(2)
+        trials = find_cell(world)._planner._trials
+        host = find_cell(world).hosts["h0"]
+        self.assertTrue(trials._is_quiet(host))
+        world.start_agent(world.runners[0])
+        world.run(0.5)
+        self.assertTrue(host.attached)
+        self.assertFalse(trials._is_quiet(host))
+        world.run(QUIET_TIME.total_seconds())
+        self.assertTrue(trials._is_quiet(host))
+
     def test_a_suspect_that_goes_on_is_like_any_other_task(self):
         """Guards against tasks that are tried one by one for ever."""
         world = World(9, hosts=3)
