--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -62,6 +62,7 @@
     def test_a_deadly_task_never_ends_done(self):
         """Guards against an alarm for a task whose timer fires after its time."""
         runner = self.runners[0]
+        self.addCleanup(runner.stop)
         self._start(runner, "j.0.0.0", spec=DEADLY_SPEC)
         runner.running["j.0.0.0"] = runner.running["j.0.0.0"]._replace(ends_at=0.0)
         runner.expire()
