--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -198,6 +198,7 @@
             if self.runner_left and runner.born == known.born:
                 return False
         self.runner = runner
+        self._crash_watch.mark_draining(runner.born, runner.draining)
         self._heartbeat_sequence = sequence
         self.runner_left = False
         return True
@@ -808,7 +809,7 @@
             leaving=self.runner_left,
             silent=self.is_silent(now),
             suspects=self._crash_watch.suspects,
-            unanswered=not self._last_poll_answered,
+            unanswered=not self._last_poll_answered or self._crash_watch.has_failed,
         )
 
     def _is_profiled(self, task: str) -> bool:
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -20,6 +20,7 @@
 from egretcrank.scheduling.tasks import StepState
 from egretcrank.scheduling.trials import (
     FULL_REPORT_INTERVAL,
+    QUIET_TIME,
     TRIAL_TIME,
     Suspect,
 )
@@ -51,6 +52,19 @@
     return cell
 
 
+def play_beside_deadly_tasks(world: World) -> list[str]:
+    """Hand in small jobs for 20 s; return the five among them with deadly tasks."""
+    deadly = [submit_deadly(world, width=3)[0] for _ in range(2)]
+    for tick in range(200):
+        if world.random.random() < 0.3:
+            world.submit(build_step(width=world.random.randint(1, 4), cpu=400))
+        if tick % 60 == 30:
+            width = world.random.randint(1, 3)
+            deadly.append(submit_deadly(world, width=width)[0])
+        world.step()
+    return deadly
+
+
 def replace_leader(world: World) -> None:
     world.leader.fenced = True
     world.elect()
@@ -87,6 +101,36 @@
                 innocent = [world.find_phase(j) for j in world.jobs if j not in deadly]
                 self.assertEqual(set(innocent), {Phase.COMPLETED})
 
+    def test_no_innocent_job_is_given_up_for_a_suspicion_that_proved_wrong(self):
+        """Guards against a broken call that counts once its runner ends much later."""
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = World(seed, hosts=6)
+                world.late_start_probability = 0.15
+                deadly = play_beside_deadly_tasks(world)
+                world.late_start_probability = 0.0
+                world.run(40)
+                self.assertEqual(world.violations, [])
+                failed = [j for j in world.jobs if world.find_phase(j) is Phase.FAILED]
+                self.assertEqual(failed, deadly)
+
+    def test_a_reply_after_a_broken_call_withdraws_the_suspicion(self):
+        """Guards against a record that makes the next end of the runner evidence.
+
+        The start had no effect, so that no list and no end names the run.
+        """
+        world = World(1, hosts=1)
+        world.run(0.5)
+        world.late_start_probability = 1.0
+        job = world.submit(build_step(width=1))
+        world.run(0.5)
+        self.assertGreater(find_cell(world).hosts["h0"].suspects_seen, 0)
+        step = find_cell(world).jobs[job].occurrences[0][0]
+        self.assertEqual(step.tasks[0].crashes, ())
+        self.assertEqual(step.suspects, set())
+        record = world.table.jobs[job].crashes
+        self.assertEqual(record and record.tasks, {})
+
     def test_no_job_is_given_up_where_runners_crash_by_themselves(self):
         """Guards against a job that fails on a day on which hosts crash in turns."""
         for seed in SEEDS:
@@ -232,9 +276,12 @@
         name = next(runner.name for runner in world.runners if runner.running)
         agent = world.agents[name]
         agent.state.mark_unanswered(agent.state.begin_poll(), world.now(), True)
+        # The runner does not answer until the leader has recorded the suspicion.
+        agent.is_polling = False
         step = find_cell(world).jobs[job].occurrences[0][0]
         while not step.tasks[0].crashes:
             world.step()
+        agent.is_polling = True
         crashed = world.runners[int(name[1:])]
         while crashed.running:
             crashed.expire()
@@ -250,9 +297,12 @@
         name = next(runner.name for runner in world.runners if runner.running)
         agent = world.agents[name]
         agent.state.mark_unanswered(agent.state.begin_poll(), world.now(), True)
+        # The runner does not answer until the leader has recorded the suspicion.
+        agent.is_polling = False
         world.run(0.2)
         step = find_cell(world).jobs[job].occurrences[0][0]
         self.assertEqual(step.suspects, {0})
+        agent.is_polling = True
         world.run(3)
         self.assertEqual(step.suspects, set())
         self.assertEqual(step.tasks[0].crashes, ())
@@ -351,7 +401,7 @@
         cell = find_cell(world)
         step = cell.jobs[job].occurrences[0][0]
         step.suspects.add(0)
-        other.last_start_at = timedelta()
+        other.last_start_at = other.attached_at = timedelta()
         self.assertEqual(trials.plan([step], [other]), [])
         self.assertEqual(len(trials._trials), 2)
 
@@ -374,6 +424,20 @@
             host = trials._choose_host(suspect, cell.hosts.values())
             self.assertIs(host, chosen)
 
+    def test_a_trial_waits_until_a_new_agent_process_knows_the_runs(self):
+        """Guards against a trial that tells little, as each run may be the cause."""
+        world = World(30, hosts=2)
+        world.run(2)
+        trials = find_cell(world)._planner._trials
+        host = find_cell(world).hosts["h0"]
+        self.assertTrue(trials._is_quiet(host))
+        world.start_agent(world.runners[0])
+        world.run(0.5)
+        self.assertTrue(host.attached)
+        self.assertFalse(trials._is_quiet(host))
+        world.run(QUIET_TIME.total_seconds())
+        self.assertTrue(trials._is_quiet(host))
+
     def test_a_suspect_that_goes_on_is_like_any_other_task(self):
         """Guards against tasks that are tried one by one for ever."""
         world = World(9, hosts=3)
