Lose a late start of the simulation with the process that got it

By the trace, a start that a dead process had queued was carried out by the next one, whose life began only inside of the call, after the check for the process.

--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -300,6 +300,8 @@
     token: int
 
     def execute(self) -> None:
+        # The next process may be due to begin.
+        self.runner.expire()
         if self.runner.born == self.born:
             self.runner.start(self.order, self.deadline, self.token)
 
