--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.agent.crashes import Crash, CrashWatch, format_runs
+from egretcrank.agent.limits import StartLimits
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.rooms import RoomLedger, fits
 from egretcrank.agent.stops import StopList
@@ -145,12 +146,7 @@
         self._starting: dict[Run, int] = {}
         # Those of them that have not been sent yet, in the order of their arrival.
         self._waiting: OrderedDict[Run, WaitingStart] = OrderedDict()
-        # Until when starts may be sent, or None for a leader that sets no limit, the
-        # last order of the session, and when the report was sent that the message with
-        # these answered.
-        self._starts_until: timedelta | None = timedelta()
-        self._last_order = 0
-        self._limits_read_at = timedelta()
+        self._limits = StartLimits()
         # Confirmed starts that no poll has listed yet, with the number of polls sent
         # until the confirmation. The reply to one of these may be older than the start.
         self._started: dict[Run, int] = {}
@@ -534,9 +530,7 @@
             self._seen_ends = 0
             self._request_full_report()
             self._refused.clear()
-            self._starts_until = timedelta()
-            self._last_order = 0
-            self._limits_read_at = timedelta()
+            self._limits = StartLimits()
             self._starting = dict.fromkeys(self._starting, 0)
             for run in list(self._waiting):
                 self.mark_refused(run, SESSION_OVER)
@@ -544,7 +538,7 @@
         authority = sent_at + timedelta(seconds=message.authority_seconds)
         if message.authority_seconds > 0:
             self.authority_until = max(self.authority_until, authority)
-        self._update_start_limits(message, sent_at)
+        self._limits.update(message)
         if message.born == self.born:
             self._seen_ends = max(self._seen_ends, message.seen_ends)
             self.durable_ends = max(self.durable_ends, message.durable_ends)
@@ -577,18 +571,6 @@
             new.append(order)
         return new
 
-    def _update_start_limits(self, message: HostOrders, sent_at: timedelta) -> None:
-        """Apply the limits on starts, unless a newer message has arrived before."""
-        if sent_at < self._limits_read_at:
-            return
-        self._limits_read_at = sent_at
-        self._last_order = max(self._last_order, message.last_order)
-        if message.start_seconds is None:
-            self._starts_until = None
-            return
-        until = sent_at + timedelta(seconds=message.start_seconds)
-        self._starts_until = max(self._starts_until or timedelta(), until)
-
     def _withdraw(self, run: Run) -> None:
         """Stop a run, or drop its start if that has not been sent yet."""
         if run in self._waiting:
@@ -613,21 +595,17 @@
 
         Returns None while a message is missing, which may withdraw the start.
         """
-        if not self._waiting or self.applied < self._last_order:
+        if not self._waiting or self._limits.is_order_missing(self.applied):
             return None
         _, waiting = self._waiting.popitem(last=False)
         return waiting
 
     def refuse_outdated_starts(self, now: timedelta) -> None:
         """Refuse the starts that wait for longer than they are good for."""
-        if self._are_orders_outdated(now):
+        if self._limits.is_outdated(now):
             for run in list(self._waiting):
                 self.mark_refused(run, OUTDATED)
 
-    def _are_orders_outdated(self, now: timedelta) -> bool:
-        """Return whether orders of the session may have been withdrawn unheard."""
-        return self._starts_until is not None and now >= self._starts_until
-
     def permit_start(
         self, waiting: WaitingStart, now: timedelta
     ) -> Result[StartPermit, str]:
@@ -640,7 +618,7 @@
             return Failure(SESSION_OVER)
         if run in self._stops:
             return Failure(WITHDRAWN)
-        if self._are_orders_outdated(now) or self.applied < self._last_order:
+        if self._limits.is_outdated(now) or self._limits.is_order_missing(self.applied):
             return Failure(OUTDATED)
         if self.runner is None or self.runner.draining:
             return Failure("draining")
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -220,7 +220,7 @@
         runner.restart()
         world.clock.advance(TICK)
         # A leader of the previous release sets no limit to the wait of a start.
-        agent.state._starts_until = None
+        agent.state._limits._until = None
         agent.start(start)
         self.assertEqual(len(runner.running), 1)
         for _ in range(60):
