--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -448,7 +448,8 @@
         if run <= self._highest_runs.get(task, 0):
             return 409, {"clock_ms": clock, "reason": "old"}
         self._highest_runs[task] = run
-        started = TaskStart(self.name, task, run, body["spec"], body["arrived_at"])
+        arrived_at = body.get("arrived_at", time.monotonic())
+        started = TaskStart(self.name, task, run, body["spec"], arrived_at)
         self._observer.record_start(self, started)
         spec = _read_spec(body["spec"])
         now = time.monotonic()
