Name what decoding raises in one place

Cause: thirteen decoders listed their errors by hand, in three variants, and that of the cell's records lacked the one for deep nesting. By a run of each kind on arrays and maps 100,000 deep it was not raised there (their lengths are refused first), so this is no fault mended: the new test passes before, too, and guards the kind that had none.

--- a/src/egretcrank/cli/http.py
+++ b/src/egretcrank/cli/http.py
@@ -7,6 +7,8 @@
 import msgspec
 import urllib3
 
+from egretcrank.wire.nesting import DECODE_ERRORS
+
 EXIT_REFUSED = 1
 EXIT_UNREACHABLE = 3
 TIMEOUT_SECONDS = 10.0
@@ -32,7 +34,7 @@
         _exit_with_message(f"{url} is unreachable: {error}", EXIT_UNREACHABLE)
     try:
         document = msgspec.json.decode(reply.data)
-    except (msgspec.MsgspecError, RecursionError):
+    except DECODE_ERRORS:
         _exit_with_message(
             f"{url} returned status {reply.status} without JSON", EXIT_REFUSED
         )
--- a/src/egretcrank/cli/jobs.py
+++ b/src/egretcrank/cli/jobs.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from egretcrank.jobs.model import Ending, Repeat
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 EXIT_REFUSED = 1
 EXIT_UNKNOWN = 3
@@ -52,7 +53,7 @@
             _exit_with(EXIT_UNKNOWN, f"entry is unreachable: {error}")
         try:
             answer = msgspec.json.decode(response.data, type=dict[str, Any])
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             _exit_with(EXIT_UNKNOWN, f"status {response.status}: {error}")
         if response.status >= 300:
             self._exit_with_problem(answer, response.status)
--- a/src/egretcrank/entry/jobs.py
+++ b/src/egretcrank/entry/jobs.py
@@ -20,6 +20,7 @@
     SubmitJob,
     TaskSpec,
 )
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 CALL_TIMEOUT = timedelta(seconds=6)
 ROUTE_TIMEOUT = timedelta(seconds=12)
@@ -54,7 +55,7 @@
         )
     try:
         submission = msgspec.json.decode(body, type=_Submission)
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Failure(
             Problem(
                 ErrorKind.BAD_REQUEST,
--- a/src/egretcrank/host/worker.py
+++ b/src/egretcrank/host/worker.py
@@ -17,6 +17,7 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.transport.threads import ThreadBridge
 from egretcrank.wire.messages import Resources
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 CALL_TIMEOUT = timedelta(seconds=2)
 
@@ -223,7 +224,7 @@
 def _decode(action: str, data: bytes, kind: type[ReplyT]) -> Result[ReplyT, Problem]:
     try:
         return Success(msgspec.json.decode(data, type=kind))
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return _fail(ErrorKind.CALL_TIMEOUT, action, f"reply is malformed: {error}")
 
 
--- a/src/egretcrank/lists/state.py
+++ b/src/egretcrank/lists/state.py
@@ -22,6 +22,7 @@
 )
 from egretcrank.stream.reader import Verdict
 from egretcrank.stream.records import ListChange, Record
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 # Authorities in ascending order.
 AUTHORITIES = ("operator", "founder")
@@ -340,7 +341,7 @@
         """Replace the state by an encoded one; fail with ``invalid_record``."""
         try:
             body = msgspec.json.decode(data, type=_Body)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             return _build_state_failure(f"state of the lists is malformed: {error}")
         entries: dict[str, ListEntry] = {}
         for key, fields in body.raw.items():
--- a/src/egretcrank/ownership/state.py
+++ b/src/egretcrank/ownership/state.py
@@ -8,6 +8,7 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.stream.reader import Verdict
 from egretcrank.stream.records import OwnerClaim, OwnerRelease, Record
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +100,7 @@
         """Replace the table with that of a snapshot."""
         try:
             owners = msgspec.msgpack.decode(data, type=tuple[Owner, ...])
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             return Failure(_build_problem(f"owners snapshot is malformed: {error}"))
         self._owners = {owner.partition: owner for owner in owners}
         return Success(None)
--- a/src/egretcrank/ownership/work.py
+++ b/src/egretcrank/ownership/work.py
@@ -18,6 +18,7 @@
 from egretcrank.settings.schema import ClusterSettings
 from egretcrank.stream.reader import Verdict
 from egretcrank.stream.records import Fence, HeldGap, KeyClaim, KeyOutcome, Record
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 WorkRecord = KeyClaim | KeyOutcome | HeldGap | JobRecord | TaskRecord
 
@@ -124,7 +125,7 @@
         """
         try:
             bodies = msgspec.msgpack.decode(data, type=list[_PartitionBody])
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             return Failure(
                 Problem(
                     ErrorKind.INVALID_RECORD,
--- a/src/egretcrank/platform/calls.py
+++ b/src/egretcrank/platform/calls.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 # A running peer accepts a connection within a few round trips, even across regions.
 CONNECT_TIMEOUT = timedelta(milliseconds=400)
@@ -83,7 +84,7 @@
     """Decode a JSON body; one that does not match the type is ``invalid_message``."""
     try:
         return Success(msgspec.json.decode(body, type=body_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Failure(
             Problem(
                 ErrorKind.INVALID_MESSAGE,
--- a/src/egretcrank/platform/rows.py
+++ b/src/egretcrank/platform/rows.py
@@ -9,7 +9,7 @@
 
 from egretcrank.errors.kinds import Problem
 from egretcrank.platform.calls import decode_body
-from egretcrank.wire.nesting import cut_nested
+from egretcrank.wire.nesting import DECODE_ERRORS, cut_nested
 
 # Rows of one list that a log line shows, and their length there.
 MAX_LOGGED_ROWS = 3
@@ -43,7 +43,7 @@
     """Decode one value of a row; an invalid one becomes the default."""
     try:
         return decoder.decode(cell)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return default
 
 
--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -15,6 +15,7 @@
 from egretcrank.scheduling.definitions import JobDefinition
 from egretcrank.wire.bounds import Count, Integer
 from egretcrank.wire.hosting import Pressure
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 # Seconds since 1970.
 Timestamp = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIMESTAMP)]
@@ -152,7 +153,7 @@
     """Decode the value of a record, or return an ``invalid_record`` problem."""
     try:
         return Success(_decoders[kind].decode(value))
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (*DECODE_ERRORS, KeyError) as error:
         return Failure(
             Problem(
                 ErrorKind.INVALID_RECORD,
--- a/src/egretcrank/stream/records.py
+++ b/src/egretcrank/stream/records.py
@@ -15,6 +15,7 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.wire.bounds import Integer
 from egretcrank.wire.messages import Executed, Refused, SubmitJob
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 RECORD_VERSION = 1
 
@@ -308,7 +309,7 @@
                 )
             )
         return Success(Entry(envelope.record_id, decoder.decode(envelope.body)))
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Failure(
             Problem(
                 ErrorKind.INVALID_RECORD,
--- a/src/egretcrank/stream/snapshots.py
+++ b/src/egretcrank/stream/snapshots.py
@@ -12,6 +12,7 @@
 
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.stream.records import SnapshotChunk
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 CHUNK_BYTES = 48 * 1024
 # Writers that fail leave incomplete snapshots. Few writers are active at a time.
@@ -65,7 +66,7 @@
         )
     try:
         return Success(msgspec.msgpack.decode(state.data, type=StateBody))
-    except (msgspec.MsgspecError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Failure(
             Problem(
                 ErrorKind.INVALID_RECORD, f"state is malformed: {error}", "snapshot"
--- a/src/egretcrank/wire/envelope.py
+++ b/src/egretcrank/wire/envelope.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.wire.nesting import DECODE_ERRORS
 
 PROTOCOL_VERSION = 1
 
@@ -60,7 +61,7 @@
         """
         try:
             envelope = _envelope_decoder.decode(data)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             return Failure(
                 Problem(
                     ErrorKind.INVALID_MESSAGE,
@@ -81,7 +82,7 @@
             )
         try:
             message = decoder.decode(envelope.body)
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODE_ERRORS as error:
             return Failure(
                 Problem(
                     ErrorKind.INVALID_MESSAGE,
--- a/src/egretcrank/wire/nesting.py
+++ b/src/egretcrank/wire/nesting.py
@@ -1,7 +1,12 @@
-"""Removal of deep nesting from JSON, for lists whose other rows can be used."""
+"""Deep nesting in bodies and messages of other processes."""
 
 import re
 
+import msgspec
+
+# What decoding raises. Deep nesting is no error of msgspec itself.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
+
 # Bodies of the platform, and pages of streams, nest less deeply, and decoders deeper.
 MAX_DEPTH = 64
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -669,6 +669,22 @@
         self.assertEqual(len(order_steps([job], lambda _: queue, Slowdowns(), now)), 1)
 
 
+class NestedRecordTests(AsyncTestCase):
+    """Records on the cell's log that nest deeply."""
+
+    def test_a_nested_record_of_any_kind_is_refused(self):
+        """Guards against one record that stops the followers of the log."""
+        arrays = b"\x91" * DEPTH + b"\xc0"
+        for kind in RecordKind:
+            for value in (
+                arrays,
+                b"\x93\xa1a" + arrays,
+                b"\x81\xa1a" * DEPTH + b"\xc0",
+            ):
+                problem = decode_record(kind, value).failure()
+                self.assertEqual(problem.kind, ErrorKind.INVALID_RECORD, kind)
+
+
 class ProgressRecordTests(AsyncTestCase):
     """Odd records of the progress of a job that other writers have left on the log."""
 
