Count calls to the runner in one place, and drop what the executor left over

Cause: the executor had a copy of the daemon's counter; AgentState.mark_sent stood beside a second call of what it does; nothing iterates over a StopList; the release of a withdrawn start was written twice. Ruled out: folding Metrics.runner_seconds into it, which has no result.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -145,10 +145,6 @@
         self._metrics.authority_seconds.set({}, max(0.0, left.total_seconds()))
         return self._metrics.render(accept)
 
-    def _count_call(self, call: str, failed: Problem | None) -> None:
-        result = failed.kind.value if failed else "ok"
-        self._metrics.runner_calls.inc({"call": call, "result": result})
-
     # Runner
 
     def _handle_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -217,12 +213,12 @@
             sent_at = self._clock.boottime()
         match self._runner.poll(deadline, token, acknowledged, wait):
             case Success(snapshot):
-                self._count_call("look", None)
+                self._metrics.count_runner_call("look", None)
                 self._log_reachability("")
                 self._apply_snapshot(snapshot, poll)
                 return True
             case Failure(problem):
-                self._count_call("look", problem)
+                self._metrics.count_runner_call("look", problem)
                 if problem.kind is ErrorKind.STALE_EPOCH:
                     self._token.advance(token)
                 else:
--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -125,7 +125,7 @@
             self._metrics.runner_seconds.add({}, duration.total_seconds())
             match started:
                 case Success(CommandResult(_, "")):
-                    self._count_call("start", None)
+                    self._metrics.count_runner_call("start", None)
                     with self._lock:
                         self._state.mark_started(
                             run, self._clock.boottime(), permit.born
@@ -146,7 +146,7 @@
                     self._report_refusal(run, refusal)
                     return
                 case Failure(problem):
-                    self._count_call("start", problem)
+                    self._metrics.count_runner_call("start", problem)
                     self._handle_unanswered_start(run, problem, permit.born)
                     return
 
@@ -233,14 +233,14 @@
         token = self._token.value
         match self._runner.stop(run.task, run.run, token):
             case Success(CommandResult(_, refusal)):
-                self._count_call("stop", None)
+                self._metrics.count_runner_call("stop", None)
                 result = refusal
                 if refusal == FENCED:
                     self._token.advance(token)
                     with self._lock:
                         self._state.mark_stop_failed(run)
             case Failure(problem):
-                self._count_call("stop", problem)
+                self._metrics.count_runner_call("stop", problem)
                 result = problem.kind.value
         logger.info(
             "stop sent",
@@ -292,14 +292,10 @@
                 elif refusal != UNHEALTHY:
                     return
             case Failure(problem):
-                self._count_call("pace", problem)
+                self._metrics.count_runner_call("pace", problem)
                 if not was_not_run(problem.kind):
                     # Otherwise it could be carried out after a newer one.
                     self._token.raise_above(token)
         with self._lock:
             if run not in self._paces:
                 self._unanswered_paces[run] = change.percent
-
-    def _count_call(self, call: str, failed: Problem | None) -> None:
-        result = failed.kind.value if failed else "ok"
-        self._metrics.runner_calls.inc({"call": call, "result": result})
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -627,7 +627,7 @@
             return Failure("no authority")
         if not self.reserve_start(run):
             return Failure(NO_ROOM)
-        self._crash_watch.mark_sent(run, now)
+        self.mark_sent(run, now)
         return Success(StartPermit(deadline, self.born))
 
     def mark_sent(self, run: Run, now: timedelta) -> None:
--- a/src/egretcrank/agent/stops.py
+++ b/src/egretcrank/agent/stops.py
@@ -1,6 +1,6 @@
 """Runs that an agent has to stop."""
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable
 from datetime import timedelta
 
 from egretcrank.wire.hosting import Run
@@ -23,9 +23,6 @@
     def __contains__(self, run: object) -> bool:
         return run in self._runs
 
-    def __iter__(self) -> Iterator[Run]:
-        return iter(self._runs)
-
     def add(self, run: Run) -> None:
         """Add a run whose stop is due at once."""
         self._runs[run] = None
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -3,6 +3,8 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from egretcrank.errors.kinds import Problem
+
 LATENCY_BUCKETS_SECONDS = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
 ]  # fmt: skip
@@ -169,6 +171,11 @@
             registry=self._registry,
         )
 
+    def count_runner_call(self, call: str, failed: Problem | None) -> None:
+        """Count a call to the runner by its result."""
+        result = failed.kind.value if failed else "ok"
+        self.runner_calls.inc({"call": call, "result": result})
+
     def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
         """Return the body and headers of an HTTP response."""
         body, headers = render(self._registry, [accept])
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -578,10 +578,9 @@
             or placement.order_number != refused.number
         ):
             return
+        self._runs.release(placement, f"start refused: {refused.reason}")
         if refused.reason == WITHDRAWN:
-            self._runs.release(placement, "start refused: withdrawn")
             return
-        self._runs.release(placement, f"start refused: {refused.reason}")
         # A host without room by the leader's own figures needs no further time.
         if refused.reason != NO_ROOM or host.can_hold(placement.step.definition):
             host.avoid_until = self._clock.boottime() + REFUSAL_BACKOFF
