--- a/src/egretcrank/controller/election.py
+++ b/src/egretcrank/controller/election.py
@@ -23,6 +23,7 @@
     Store,
     Writer,
 )
+from egretcrank.wire.bounds import MAX_LOGGED_CHARACTERS
 
 CONTROLLER_GROUP = "controllers"
 PRODUCER = "cell"
@@ -49,7 +50,6 @@
 # Limits the extension, as a dead controller is noticed that much later.
 MAX_TTL_EXTENSION = timedelta(milliseconds=1000)
 
-MAX_LOGGED_CHARACTERS = 80
 
 logger = logging.getLogger(__name__)
 
--- a/src/egretcrank/controller/link.py
+++ b/src/egretcrank/controller/link.py
@@ -8,6 +8,7 @@
 import pynng
 from returns.result import Failure, Success
 
+from egretcrank.wire.bounds import MAX_LOGGED_CHARACTERS
 from egretcrank.wire.envelope import Delivery
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
@@ -25,7 +26,6 @@
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 # Keys of records have up to 255 bytes, and that of a host begins with two others.
 MAX_HOST_NAME_BYTES = 253
-MAX_LOGGED_CHARACTERS = 80
 
 # Called with True if the record is in the log, and with False if it may not be.
 AnswerCallback = Callable[[bool], None]
--- a/src/egretcrank/platform/rows.py
+++ b/src/egretcrank/platform/rows.py
@@ -9,11 +9,11 @@
 
 from egretcrank.errors.kinds import Problem
 from egretcrank.platform.calls import decode_body
+from egretcrank.wire.bounds import MAX_LOGGED_CHARACTERS
 from egretcrank.wire.nesting import DECODE_ERRORS, cut_nested
 
-# Rows of one list that a log line shows, and their length there.
+# Rows of one list that a log line shows.
 MAX_LOGGED_ROWS = 3
-MAX_LOGGED_CHARACTERS = 80
 
 BodyT = TypeVar("BodyT")
 CellT = TypeVar("CellT")
--- a/src/egretcrank/transport/leader.py
+++ b/src/egretcrank/transport/leader.py
@@ -7,7 +7,7 @@
 import pynng
 from returns.result import Failure, Success
 
-from egretcrank.wire.bounds import is_address
+from egretcrank.wire.bounds import MAX_LOGGED_CHARACTERS, is_address
 from egretcrank.wire.envelope import Delivery
 from egretcrank.wire.hosting import (
     HOSTING_CODEC,
@@ -21,7 +21,6 @@
 RECEIVE_TIMEOUT_MILLISECONDS = 500
 SEND_TIMEOUT_MILLISECONDS = 100
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
-MAX_LOGGED_CHARACTERS = 80
 
 logger = logging.getLogger(__name__)
 
--- a/src/egretcrank/wire/bounds.py
+++ b/src/egretcrank/wire/bounds.py
@@ -13,6 +13,8 @@
 MAX_PORT = 65535
 # The Domain Name System limits names to this length.
 MAX_HOST_CHARACTERS = 253
+# Part of an odd value that a log line shows.
+MAX_LOGGED_CHARACTERS = 80
 
 Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 # A number without further meaning here, as records hold it.
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import replace
 from datetime import timedelta
@@ -654,6 +654,34 @@
     leader.cell.apply_report(HOSTING_CODEC.decode(encoded).unwrap().message)
 
 
+class OddRecordsPlay(NamedTuple):
+    """A world after odd records: the phases of a job before and after a takeover.
+
+    ``refused`` counts the records that the first leader refused.
+    """
+
+    world: World
+    phases: tuple[Phase, Phase]
+    refused: int
+
+
+def play_beside_odd_jobs(definitions: Iterable[JobDefinition]) -> OddRecordsPlay:
+    """Run valid jobs beside odd ones that another writer has left on the log."""
+    world = World(41)
+    world.run(1)
+    for definition in definitions:
+        key = RecordKey(RecordKind.JOB, definition.job_id).format()
+        assert world.log.append([(key, encode_record(definition))], None)
+    first = world.submit(build_step())
+    world.run(8)
+    phase, refused = world.find_phase(first), world.leader.table.refused
+    world.leader.fenced = True
+    world.elect()
+    second = world.submit(build_step())
+    world.run(12)
+    return OddRecordsPlay(world, (phase, world.find_phase(second)), refused)
+
+
 def lift_limit(message: HostOrders) -> HostOrders:
     """Return a message as of the previous release, whose starts may wait for long.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -115,7 +115,7 @@
     Refused,
 )
 from tests.cases import AsyncTestCase, ManualClock
-from tests.cell_world import QUEUE, World, build_step
+from tests.cell_world import QUEUE, World, build_step, play_beside_odd_jobs
 from tests.test_poison import NOW, build_definition
 
 DEPTH = 100_000
@@ -596,20 +596,10 @@
 
     def check_refused(self, definition: JobDefinition) -> None:
         """Check that a job is refused, and that others run beside it."""
-        world = World(41)
-        world.run(1)
-        key = RecordKey(RecordKind.JOB, definition.job_id).format()
-        assert world.log.append([(key, encode_record(definition))], None)
-        job = world.submit(build_step())
-        world.run(8)
-        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
-        self.assertEqual(world.leader.table.refused, 1)
-        world.leader.fenced = True
-        world.elect()
-        job = world.submit(build_step())
-        world.run(12)
-        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
-        self.assertEqual(world.violations, [])
+        play = play_beside_odd_jobs([definition])
+        self.assertEqual(play.phases, (Phase.COMPLETED, Phase.COMPLETED))
+        self.assertEqual(play.refused, 1)
+        self.assertEqual(play.world.violations, [])
 
     def test_a_job_with_an_odd_time_blocks_no_other(self):
         """Guards against plans that all fail as one deadline cannot be computed."""
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -8,12 +8,12 @@
 
 from egretcrank.controller.daemon import Controller
 from egretcrank.scheduling.definitions import JobDefinition, find_defect
-from egretcrank.scheduling.records import Phase, RecordKey, RecordKind, encode_record
+from egretcrank.scheduling.records import Phase, encode_record
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.transport.leader import receive_messages
 from egretcrank.wire.hosting import HOSTING_CODEC, LeaderMoved
 from tests.cases import AsyncTestCase
-from tests.cell_world import QUEUE, World, build_step
+from tests.cell_world import QUEUE, build_step, play_beside_odd_jobs
 
 LONG = timedelta(days=100_000_000)
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
@@ -52,20 +52,9 @@
 
     def test_an_invalid_record_of_another_writer_blocks_nothing(self):
         """Guards against one record that blocks all decisions of the cell."""
-        world = World(41)
-        world.run(1)
-        for definition in list_bad_jobs().values():
-            key = RecordKey(RecordKind.JOB, definition.job_id).format()
-            assert world.log.append([(key, encode_record(definition))], None)
-        job = world.submit(build_step())
-        world.run(8)
-        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
-        world.leader.fenced = True
-        world.elect()
-        job = world.submit(build_step())
-        world.run(12)
-        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
-        self.assertEqual(world.violations, [])
+        play = play_beside_odd_jobs(list_bad_jobs().values())
+        self.assertEqual(play.phases, (Phase.COMPLETED, Phase.COMPLETED))
+        self.assertEqual(play.world.violations, [])
 
     def test_a_record_under_the_key_of_another_job_is_refused(self):
         """Guards against a job that is scheduled under two names."""
