--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -35,6 +35,7 @@
         self.ended = []
         self.count = 0
         self.sequence = 0
+        self.labels = [options.kind, "r1-1"]
 
     def note(self, event, **fields):
         row = {"t": round(time.time(), 3), "runner": self.options.name, "ev": event}
@@ -116,7 +117,7 @@
             "from": body.get("checkpoint", ""),
             "mark": f"{self.count + len(self.running):010x}",
         }
-        self.note("start", task=task, run=run)
+        self.note("start", task=task, run=run, kind=self.options.kind)
         return 200, {}
 
     def stop(self, body):
@@ -152,6 +153,8 @@
     # Liveness reports
 
     def beat(self):
+        # It serves from the start, and reports once it is up.
+        time.sleep(self.options.first_beat)
         while True:
             self.sequence += 1
             body = {
@@ -159,7 +162,7 @@
                 "zone": "zone-a", "version": "v1", "slots": 8, "state": "ready",
                 "cold_remaining_ms": 0,
                 "capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0},
-                "labels": ["a", "r1-1"], "clock_ms": self.clock(),
+                "labels": self.labels, "clock_ms": self.clock(),
                 "sequence": self.sequence, "born": self.born,
             }
             host, _, port = self.options.control.rpartition(":")
@@ -214,6 +217,8 @@
     parser = argparse.ArgumentParser()
     for name in ("name", "address", "control", "service", "events"):
         parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--kind", default="a")
+    parser.add_argument("--first-beat", type=float, default=0.0)
     options = parser.parse_args()
     runner = Runner(options)
     host, _, port = options.address.rpartition(":")
