--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -174,13 +174,15 @@
         for process in (*self.runners, *self.frontends, *self.agents):
             process.start()
 
-    def wait_ready(self, seconds=30.0):
+    def wait_ready(self, seconds=30.0, label=""):
         """Wait until each daemon is ready and a probe job has run on the runners."""
         deadline = time.time() + seconds
         job = "00000000000000aa"
-        count = 2 * len(self.runners)
+        step = {"count": 2 * len(self.runners), "cpu": 100, "mem_mb": 1}
+        if label:
+            step["requirements"] = label
         while time.time() < deadline:
-            if self.submit(job, 0.1, [{"count": count, "cpu": 100, "mem_mb": 1}])[0] == 200:
+            if self.submit(job, 0.1, [step])[0] == 200:
                 break
             time.sleep(0.5)
         while time.time() < deadline:
