--- a/review/1/case.py
+++ b/review/1/case.py
@@ -60,9 +60,9 @@
             cluster.write_record(["could not run: the job was not accepted"])
             return 2
         # Until the first tasks end.
-        begun = wait_for(cluster, lambda es: sum(e["ev"] == "start" and JOB in e["task"] for e in es) >= TASKS, 24)
-        first = min(e["t"] for e in cluster.read_events() if e["ev"] == "start" and JOB in e["task"])
-        cluster.record("case", f"all tasks started: {begun}")
+        starts = wait_for_starts(cluster, 24.0)
+        cluster.record("case", f"tasks started: {len(starts)}")
+        first = min(starts)
         time.sleep(max(0.0, first + TASK_SECONDS - 0.3 - time.time()))
         if trouble:
             agent = cluster.agents[0]
@@ -93,13 +93,15 @@
     return code
 
 
-def wait_for(cluster, check, seconds):
+def wait_for_starts(cluster, seconds):
+    """Return the times of the job's starts once all its tasks have been started."""
     deadline = time.time() + seconds
-    while time.time() < deadline:
-        if check(cluster.read_events()):
-            return True
+    while True:
+        starts = [e["t"] for e in cluster.read_events()
+                  if e["ev"] == "start" and JOB in e["task"]]
+        if len(starts) >= TASKS or time.time() >= deadline:
+            return starts
         time.sleep(0.5)
-    return False
 
 
 sys.exit(main())
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,8 @@
-"""LOST: a job is shown as failed, though none of its runs has ended failed."""
+"""ROUTE: a task that requires a kind of runner is started on one of another kind."""
 
 import os
 import sys
+import threading
 import time
 from pathlib import Path
 
@@ -9,53 +10,77 @@
 from review.standins.cluster import Cluster
 
 RUNNERS = 7
-JOB = "5c0e7a21d94b36f8"
-KIND = "b"
-CRASH_AFTER, DOWN_SECONDS = 0.3, 4.5
-TASK_SECONDS = 5.0
-WATCH_SECONDS = 95.0
-FINAL = ("completed", "failed", "cancelled")
+KINDS = ("a", "b")
+SECONDS = 60.0
+DOWN_SECONDS = 1.0
+PAUSE_SECONDS = 2.0
+TASK_SECONDS = 0.5
 
 
 def main():
     trouble = os.environ.get("TROUBLE", "1") != "0"
     cluster = Cluster(Path(__file__).parent, RUNNERS)
-    faulty = cluster.runners[0]
-    faulty.command += ["--kind", KIND]
-    if trouble:
-        faulty.command += ["--crash-after", str(CRASH_AFTER)]
+    kinds = [KINDS[n % 2] for n in range(RUNNERS)]
+    for number, runner in enumerate(cluster.runners):
+        runner.command += ["--first-beat", "0.5", "--kind", kinds[number]]
     try:
         cluster.start()
-        # No task comes to the faulty machine before the job.
-        if not cluster.wait_ready(label="a"):
+        if not cluster.wait_ready():
             cluster.write_record(["could not run: the deployment did not get ready"])
             return 2
-        step = {"count": 1, "cpu": 240, "mem_mb": 480, "estimated_ms": 5000,
-                "requirements": KIND}
-        if cluster.submit(JOB, TASK_SECONDS, [step])[0] != 200:
-            cluster.write_record(["could not run: the job was not accepted"])
-            return 2
-        crashes, state = 0, ""
-        end = time.time() + WATCH_SECONDS
-        while time.time() < end and state not in FINAL:
-            if faulty.process.poll() is not None:
-                crashes += 1
-                cluster.record("platform", f"{faulty.name} has crashed")
-                time.sleep(DOWN_SECONDS)
-                faulty.start()
-            state = cluster.state(JOB)
-            time.sleep(0.1)
-        state = cluster.state(JOB, note=True)
-        ends = [e for e in cluster.read_events() if e["ev"] == "end" and JOB in e["task"]]
-        failed_ends = sum(e["how"] == "failed" for e in ends)
-        broken = state == "failed" and failed_ends == 0
+        stopped = threading.Event()
+        required = {}
+
+        def send(kind, first):
+            number = 0x1000 + first
+            while not stopped.is_set():
+                number += 2
+                job = f"{number:016x}"
+                required[job] = kind
+                step = {"count": 4, "cpu": 240, "mem_mb": 480, "estimated_ms": 500,
+                        "requirements": kind}
+                cluster.submit(job, TASK_SECONDS, [step])
+                time.sleep(0.15)
+
+        threads = [threading.Thread(target=send, args=(k, n)) for n, k in enumerate(KINDS)]
+        for thread in threads:
+            thread.start()
+        end = time.time() + SECONDS
+        number = 0
+        while time.time() < end:
+            time.sleep(PAUSE_SECONDS)
+            if not trouble:
+                continue
+            # One runner at a time crashes and comes back as one of the other kind.
+            runner = cluster.runners[number % RUNNERS]
+            runner.kill()
+            kinds[number % RUNNERS] = KINDS[1 - KINDS.index(kinds[number % RUNNERS])]
+            runner.command[-1] = kinds[number % RUNNERS]
+            time.sleep(DOWN_SECONDS)
+            runner.start()
+            number += 1
+        stopped.set()
+        for thread in threads:
+            thread.join()
+        time.sleep(3.0)
+        events = cluster.read_events()
+        starts = [e for e in events if e["ev"] == "start"]
+        found = [
+            e for e in starts
+            if required.get(e["task"].partition(".")[0], e["kind"]) != e["kind"]
+        ]
         verdict = [f"TROUBLE={int(trouble)}",
-                   f"the job is {state}; runs of its task that ended failed: {failed_ends} "
-                   f"(max_attempts 4); crashes of the runner: {crashes}",
-                   "rule LOST " + ("BROKEN" if broken else "held")]
+                   f"starts: {len(starts)}; crashes: {number}; starts on a runner without "
+                   f"the required label: {len(found)}"]
+        for e in found[:20]:
+            verdict.append(
+                f"{e['task']} run {e['run']} requires {required[e['task'].partition('.')[0]]}"
+                f", started at {e['t'] - cluster.started_at:.3f} on {e['runner']} of kind "
+                f"{e['kind']}")
+        verdict.append("rule ROUTE " + ("BROKEN" if found else "held"))
         cluster.write_record(verdict)
         print("\n".join(verdict))
-        return 1 if broken else 0
+        return 1 if found else 0
     finally:
         cluster.stop()
 
