--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -26,6 +26,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 RECORD_BYTES = 262144
 REQUEST_BYTES = 2097152
+# Two runs at the same time have addresses of their own.
+NET = f"127.{64 + os.getpid() // 250 % 64}.{1 + os.getpid() % 250}"
 QUEUE_HOST = "q.example"
 QUEUE_PATH = "/lohu930/"
 BOUNDS = {
@@ -102,9 +104,9 @@
         self.ports = find_ports(4 + frontends + runners)
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
         self.roles = deploy["roles"]
-        self.store = Store(f"127.0.77.1:{self.ports[0]}", self.record)
+        self.store = Store(f"{NET}.1:{self.ports[0]}", self.record)
         self.frontends = [self.build_frontend(n) for n in range(frontends)]
-        self.front = [f"127.0.77.{20 + n}:{self.ports[1]}" for n in range(frontends)]
+        self.front = [f"{NET}.{20 + n}:{self.ports[1]}" for n in range(frontends)]
         self.agents, self.runners = [], []
         for number in range(runners):
             self.build_side(number)
@@ -131,7 +133,7 @@
         return {
             "node_name": name, "zone": "zone-a", "ip_address": ip,
             "internal_ports": [self.ports[2], self.ports[2] + 15],
-            "platform": {"address": f"127.0.77.1:{self.ports[0]}"}, "bounds": BOUNDS,
+            "platform": {"address": f"{NET}.1:{self.ports[0]}"}, "bounds": BOUNDS,
             "limits": {"cpu_share": 1.0, "cores": 1, "link_speed_mbps": 1000.0},
             "listen_addresses": {
                 "front": f"{ip}:{self.ports[1]}", "ready": f"{ip}:{self.ports[1] + 1}",
@@ -140,12 +142,12 @@
         }
 
     def build_frontend(self, number):
-        name, ip = f"frontend-{number}", f"127.0.77.{20 + number}"
+        name, ip = f"frontend-{number}", f"{NET}.{20 + number}"
         command = self.render("controller", self.fields(name, ip), name)
         return Process(name, command, self.work / f"{name}.log", self.record)
 
     def build_side(self, number):
-        name, ip = f"side-{number}", f"127.0.77.{100 + number}"
+        name, ip = f"side-{number}", f"{NET}.{100 + number}"
         fields = self.fields(name, ip)
         fields["app"] = f"{ip}:{self.ports[3]}"
         command = self.render("agent", fields, name)
@@ -257,9 +259,9 @@
 
 def find_ports(addresses):
     """Return four bases of free ports, the same at all addresses of the deployment."""
-    ips = ["127.0.77.1", *(f"127.0.77.{20 + n}" for n in range(8)),
-           *(f"127.0.77.{100 + n}" for n in range(addresses))]
-    base = 20000 + os.getpid() % 2000 * 10
+    ips = [f"{NET}.1", *(f"{NET}.{20 + n}" for n in range(8)),
+           *(f"{NET}.{100 + n}" for n in range(addresses))]
+    base = 20000
     found = []
     while len(found) < 4:
         base += 40
