--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,7 +12,9 @@
 RUNNERS = 4
 TASKS = 2800
 TASK_SECONDS = 25.0
-DOWN_SECONDS = 3.5
+# The tasks end together. The agent is killed shortly before and is back after them.
+KILL_BEFORE_SECONDS = 0.5
+DOWN_SECONDS = 0.8
 
 
 def find_second_starts(events):
@@ -54,16 +56,19 @@
         if not cluster.wait_ready():
             cluster.write_record(["could not run: the deployment did not get ready"])
             return 2
-        step = {"count": TASKS, "cpu": 15, "mem_mb": 8,
-                "estimated_ms": int(TASK_SECONDS * 1000)}
-        if cluster.submit(JOB, TASK_SECONDS, [step])[0] != 200:
+        step = {
+            "count": TASKS,
+            "cpu": 15,
+            "mem_mb": 8,
+            "estimated_ms": int(TASK_SECONDS * 1000),
+        }
+        until = time.time() + TASK_SECONDS
+        if cluster.submit(JOB, TASK_SECONDS, [step], until=until)[0] != 200:
             cluster.write_record(["could not run: the job was not accepted"])
             return 2
-        # Until the first tasks end.
-        starts = wait_for_starts(cluster, 24.0)
-        cluster.record("case", f"tasks started: {len(starts)}")
-        first = min(starts)
-        time.sleep(max(0.0, first + TASK_SECONDS - 0.3 - time.time()))
+        started = wait_for_starts(cluster, until - KILL_BEFORE_SECONDS)
+        cluster.record("case", f"tasks started: {started}")
+        time.sleep(max(0.0, until - KILL_BEFORE_SECONDS - time.time()))
         if trouble:
             agent = cluster.agents[0]
             agent.kill()
@@ -76,14 +81,18 @@
         time.sleep(1.0)
         events = cluster.read_events()
         found = find_second_starts(events)
-        verdict = [f"TROUBLE={int(trouble)}", f"job: {state}; starts: "
-                   f"{sum(e['ev'] == 'start' for e in events)}; starts after a run of the "
-                   f"task has ended done: {len(found)}"]
+        verdict = [
+            f"TROUBLE={int(trouble)}",
+            f"job: {state}; starts: "
+            f"{sum(e['ev'] == 'start' for e in events)}; starts after a run of the "
+            f"task has ended done: {len(found)}",
+        ]
         for event, end in found[:10]:
             verdict.append(
                 f"{event['task']}: run {end['run']} ended done on {end['runner']} (end "
                 f"{end['n']}) at {end['t'] - cluster.started_at:.3f}, run {event['run']} "
-                f"started on {event['runner']} at {event['t'] - cluster.started_at:.3f}")
+                f"started on {event['runner']} at {event['t'] - cluster.started_at:.3f}"
+            )
         verdict.append("rule TWICE " + ("BROKEN" if found else "held"))
         code = 1 if found else 0
         cluster.write_record(verdict)
@@ -93,14 +102,14 @@
     return code
 
 
-def wait_for_starts(cluster, seconds):
-    """Return the times of the job's starts once all its tasks have been started."""
-    deadline = time.time() + seconds
+def wait_for_starts(cluster, deadline):
+    """Return the number of the job's starts, once all its tasks have been started."""
     while True:
-        starts = [e["t"] for e in cluster.read_events()
-                  if e["ev"] == "start" and JOB in e["task"]]
-        if len(starts) >= TASKS or time.time() >= deadline:
-            return starts
+        started = sum(
+            e["ev"] == "start" and JOB in e["task"] for e in cluster.read_events()
+        )
+        if started >= TASKS or time.time() >= deadline:
+            return started
         time.sleep(0.5)
 
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -30,8 +30,13 @@
             cluster.write_record(["could not run: the deployment did not get ready"])
             return 2
         time.sleep(2.0)
-        step = {"count": 1, "cpu": 240, "mem_mb": 480, "estimated_ms": 2000,
-                "requirements": KIND}
+        step = {
+            "count": 1,
+            "cpu": 240,
+            "mem_mb": 480,
+            "estimated_ms": 2000,
+            "requirements": KIND,
+        }
         if trouble:
             # The runner is lost for good, and silent.
             cluster.runners[0].send(signal.SIGSTOP)
@@ -48,10 +53,16 @@
                 # accepted long enough before the question.
                 sent_at = time.time()
                 status, answer = cluster.call("GET", QUEUE_PATH, front=front)
-                begun = {e["task"].partition(".")[0] for e in cluster.read_events()
-                         if e["ev"] == "start"}
-                owed = [j for j, at in accepted.items()
-                        if sent_at - at > COUNTED_AFTER and j not in begun]
+                begun = {
+                    e["task"].partition(".")[0]
+                    for e in cluster.read_events()
+                    if e["ev"] == "start"
+                }
+                owed = [
+                    j
+                    for j, at in accepted.items()
+                    if sent_at - at > COUNTED_AFTER and j not in begun
+                ]
                 if status != 200:
                     continue
                 asked += 1
@@ -63,9 +74,11 @@
             f"TROUBLE={int(trouble)}",
             f"jobs accepted: {len(accepted)}; answers to GET {QUEUE_PATH}: {asked}; of these "
             f"under half of the jobs that have not begun: {len(wrong)}",
-            *(f"at {at - cluster.started_at:.1f} s {cluster.frontends[front].name} gives "
-              f"waiting {waiting}, {owed} accepted jobs have not begun"
-              for at, front, waiting, owed in wrong[:6] + wrong[-6:]),
+            *(
+                f"at {at - cluster.started_at:.1f} s {cluster.frontends[front].name} gives "
+                f"waiting {waiting}, {owed} accepted jobs have not begun"
+                for at, front, waiting, owed in wrong[:6] + wrong[-6:]
+            ),
             "rule MIXED " + ("BROKEN" if wrong else "held"),
         ]
         cluster.write_record(verdict)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -37,12 +37,19 @@
                 number += 2
                 job = f"{number:016x}"
                 required[job] = kind
-                step = {"count": 4, "cpu": 240, "mem_mb": 480, "estimated_ms": 500,
-                        "requirements": kind}
+                step = {
+                    "count": 4,
+                    "cpu": 240,
+                    "mem_mb": 480,
+                    "estimated_ms": 500,
+                    "requirements": kind,
+                }
                 cluster.submit(job, TASK_SECONDS, [step])
                 time.sleep(0.15)
 
-        threads = [threading.Thread(target=send, args=(k, n)) for n, k in enumerate(KINDS)]
+        threads = [
+            threading.Thread(target=send, args=(k, n)) for n, k in enumerate(KINDS)
+        ]
         for thread in threads:
             thread.start()
         end = time.time() + SECONDS
@@ -66,17 +73,21 @@
         events = cluster.read_events()
         starts = [e for e in events if e["ev"] == "start"]
         found = [
-            e for e in starts
+            e
+            for e in starts
             if required.get(e["task"].partition(".")[0], e["kind"]) != e["kind"]
         ]
-        verdict = [f"TROUBLE={int(trouble)}",
-                   f"starts: {len(starts)}; crashes: {number}; starts on a runner without "
-                   f"the required label: {len(found)}"]
+        verdict = [
+            f"TROUBLE={int(trouble)}",
+            f"starts: {len(starts)}; crashes: {number}; starts on a runner without "
+            f"the required label: {len(found)}",
+        ]
         for e in found[:20]:
             verdict.append(
                 f"{e['task']} run {e['run']} requires {required[e['task'].partition('.')[0]]}"
                 f", started at {e['t'] - cluster.started_at:.3f} on {e['runner']} of kind "
-                f"{e['kind']}")
+                f"{e['kind']}"
+            )
         verdict.append("rule ROUTE " + ("BROKEN" if found else "held"))
         cluster.write_record(verdict)
         print("\n".join(verdict))
