Keep runs whose ends a runner omits from its list

Cause: a runner lists 500 ended runs at a time. An agent keeps the runs that such a list lacks, but only those that it knows, and a process that has just started knows none. Its report was full all the same, and a full report ends each run that it does not name. The same at a takeover: a host counted as known whose agent had seen one page.

Evidence: in the world of one cell, with 3 of 12 ends listed, the leader's egretcrank_runs_total counts 9 times "run is gone" on, and these 9 tasks start again. Ruled out: ends that the leader skips (they are acknowledged in order, without gaps) and a lapsed lease (ends are acknowledged 0.7 s after them).

Fix: reports say whether the agent process may lack runs, until a list of the same runner process was whole. The leader takes the ends that are listed, releases nothing for its absence, and completes no takeover before the list is whole or the leases that it has allowed are over. A run whose end is on a cut list is no longer reported as running beside it.

--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -29,6 +29,8 @@
 CLOCK_RATE = 0.98
 MAX_LEASE_MILLISECONDS = 6000
 POLL_SECONDS = 0.02
+# Number of ended tasks that a runner lists at a time.
+MAX_LISTED_ENDS = 500
 START_DELAY_SECONDS = (0.8, 3.0)
 # Times that a runner sends its unregistration without getting a reply.
 MAX_UNREGISTER_ATTEMPTS = 3
@@ -512,7 +514,7 @@
             "clock_ms": self._read_clock(),
             "born": self.born,
             "running": running,
-            "ended": self._ended,
+            "ended": self._ended[:MAX_LISTED_ENDS],
         }
 
     def _extend_lease(self, deadline: int, clock: int) -> None:
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -117,6 +117,9 @@
         # runner restarts.
         self._heartbeat_sequence = -1
         self.has_snapshot = False
+        # Whether each run of the runner process was listed, or is known by its start. A
+        # list that omits ends does not show this to an agent that has just started.
+        self._knows_all_runs = False
         self.runner_left = False
         # When the runner had last replied before it left.
         self._replied_before_leaving_at = timedelta()
@@ -262,13 +265,33 @@
                 del self._started[run]
         if snapshot.has_more_ends:
             # The runs that are not listed may be among the ends that are left out.
-            listed = {**self._running, **listed}
+            ended = {Run(e.task, e.run) for e in snapshot.ended}
+            kept = {r: t for r, t in self._running.items() if r not in ended}
+            listed = {**kept, **listed}
+        self._update_completeness(snapshot)
         self._running = listed
         in_progress = {*listed, *self._starting, *self._started}
         self._stops.keep(in_progress)
         self._crash_watch.mark_replied(listed, in_progress, received_at)
         return self._add_ends(snapshot) or changed
 
+    def _update_completeness(self, snapshot: RunnerSnapshot) -> None:
+        """Note whether a list shows that all runs of the runner process are known."""
+        if self._knows_all_runs:
+            return
+        self._knows_all_runs = not snapshot.has_more_ends
+        logger.info(
+            "all runs of the runner are known"
+            if self._knows_all_runs
+            else "runner omits ended runs",
+            extra={
+                "born": snapshot.born,
+                "running": len(snapshot.running),
+                "ended": len(snapshot.ended),
+                "durable_ends": self.durable_ends,
+            },
+        )
+
     def _add_ends(self, snapshot: RunnerSnapshot) -> bool:
         """Add the ends of a list and return whether there are new ones."""
         changed = False
@@ -362,6 +385,7 @@
         self.durable_ends = 0
         self._seen_ends = 0
         self._clock_base = None
+        self._knows_all_runs = False
         # Starts that were confirmed before the first list may be of this process.
         self._stops.restart({*self._starting, *self._started})
         self._running.clear()
@@ -788,6 +812,7 @@
             silent=self.is_silent(now),
             suspects=self._crash_watch.suspects,
             unanswered=not self._last_poll_answered or self._crash_watch.has_failed,
+            ends_omitted=not self._knows_all_runs,
         )
 
     def _is_profiled(self, task: str) -> bool:
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -198,6 +198,9 @@
         # A successor that was elected before the deadline may have attached them.
         if missing and self._confirmed_at < self._takeover_deadline:
             return
+        # This leader has renewed their leases, so that they outlast the deadline.
+        if any(host.ends_omitted for host in self.hosts.values()):
+            return
         self._takeover_complete = True
         logger.info(
             "inherited work is free to start",
@@ -340,6 +343,7 @@
         if not host.attached:
             self._begin_session(host)
         host.sequence = report.sequence
+        host.ends_omitted = report.ends_omitted
         host.runner_left = report.leaving
         host.runner_silent = report.silent
         host.profiles_due = report.unprofiled > 0
@@ -362,6 +366,7 @@
                         "incarnation": host.incarnation,
                         "running": len(report.running),
                         "ends": len(report.ended),
+                        "ends_omitted": report.ends_omitted,
                     },
                 )
                 self._check_takeover()
@@ -443,7 +448,9 @@
             # Leases that a former leader allowed may be longer on the new clock, so no
             # order is sent before the leadership is confirmed again.
             host.attached_at = self._attached_at = self._clock.boottime()
-            self._runs.drop_host_runs(host, RUNNER_RESTARTED, report)
+            # Otherwise the runs that are gone are released by the first whole report.
+            if not report.ends_omitted:
+                self._runs.drop_host_runs(host, RUNNER_RESTARTED, report)
         known = host.runner
         if known is None or is_use_changed(known, runner):
             host.gains.clear()
@@ -515,7 +522,8 @@
             if placement.order_number > report.applied:
                 continue
             if (key.format(), placement.run) not in reported:
-                self._runs.release(placement, GONE)
+                if not report.ends_omitted:
+                    self._runs.release(placement, GONE)
             elif placement.phase is RunPhase.STOPPING and not placement.order_number:
                 placement.order_number = host.add_order(
                     StopOrder(key.format(), placement.run)
@@ -677,6 +685,7 @@
                 )
                 self._suspect_unconfirmed(host)
                 self._runs.drop_host_runs(host, HOST_LOST, None)
+            host.ends_omitted = False
             if host.attached:
                 host.end_session()
             if host.registered:
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -46,6 +46,9 @@
         # Whether a full report was applied in this session, so that the runs are known.
         self.attached = False
         self.attached_at = timedelta()
+        # Whether the last agent process that attached did not know all runs of its
+        # runner. It holds until the leases that this leader allowed are over.
+        self.ends_omitted = False
         # Whether the host is on the log, so that a new leader waits for its report.
         self.registered = False
         self.runner_left = False
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -195,6 +195,9 @@
     ``incarnation`` changes with each start of the agent. ``applied`` is the highest
     order number accepted in the session; sessions are numbered within an epoch.
     ``running`` and ``starting`` are complete if ``full`` is set and empty otherwise.
+    ``ends_omitted`` is set while the runner may have runs that this agent process has
+    not seen in any list, as the runner lists only some of its ended runs at a time. A
+    run that is not reported meanwhile may be one of these.
     ``sent_at`` is read from the agent's own clock; the controller sends it back.
     ``pressures`` are estimates of this host that have changed since they were last
     reported, and ``rooms`` the headroom of its serving tasks; both are sent only with
@@ -226,6 +229,7 @@
     silent: bool = False
     unanswered: bool = False
     suspects: tuple[CrashSuspect, ...] = ()
+    ends_omitted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -24,7 +24,7 @@
     WaitingStart,
 )
 from egretcrank.observability.metrics import Metrics
-from egretcrank.platform.runner import RunnerSnapshot
+from egretcrank.platform.runner import MAX_LISTED_ENDS, RunnerSnapshot
 from egretcrank.scheduling.catalog import Catalog, Queue, Service
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.changes import Changes
@@ -120,6 +120,8 @@
         # When the process that follows a crash begins.
         self.returns_at: timedelta | None = None
         self.memory = MEMORY
+        # Number of ended runs that a poll lists at most.
+        self.listed_ends = MAX_LISTED_ENDS
         # Former capacities and amounts of memory, each with the time until which it
         # still counts.
         self.former_capacities: list[tuple[timedelta, int]] = []
@@ -284,7 +286,9 @@
             RunningTask(task, active_run.run, active_run.checkpoint, 10, 1000.0)
             for task, active_run in self.running.items()
         )
-        return RunnerSnapshot(self.clock(), self.born, running, tuple(self.ended))
+        listed = tuple(self.ended[: self.listed_ends])
+        has_more_ends = len(listed) >= self.listed_ends
+        return RunnerSnapshot(self.clock(), self.born, running, listed, has_more_ends)
 
 
 class LateStart(NamedTuple):
