Count a job as begun only once a runner has begun a task of it

Cause: an agent names starts that it has not sent yet, or that got no answer, in its full reports. The leader treated them like runs that the runner lists and marked the job as begun, on the log. Nothing took that back when the start turned out to have had no effect.

Ruled out: an old view (all controllers agree for 20 s) and another queue (one manifest). A test whose start waits at a sound agent shows the phase without any loss.

Fix: a start on its way has a phase of its own and tells nothing of its outcome. A job begins with a run that the runner lists or has confirmed, or with an end. Whether a job ranks as begun follows from its phase and its placed runs, so that a refused start no longer counts. A start on its way is not judged by its speed, and its time is taken from the same run only. Which runs are suspected of a crash is unchanged.

--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -32,6 +32,7 @@
 from egretcrank.scheduling.table import JobEntry, JobTable
 from egretcrank.scheduling.tasks import (
     Job,
+    Placement,
     RunPhase,
     StepState,
     Task,
@@ -505,10 +506,7 @@
                     )
         for task, run in report.starting:
             reported.add((task, run))
-            self._reconcile_run(host, RunningTask(task, run, "", 0, 0.0))
-            starting = self._runs.find(parse_task_key(task))
-            if starting is not None and starting.host == host.name:
-                starting.starting_at = host.reported_at
+            self._reconcile_start(host, RunningTask(task, run, "", 0, 0.0))
         host.unwanted_runs = {
             unwanted
             for unwanted in host.unwanted_runs
@@ -529,34 +527,52 @@
                     StopOrder(key.format(), placement.run)
                 )
 
+    def _reconcile_start(self, host: HostState, running: RunningTask) -> None:
+        """Apply that a start is on its way, which tells nothing of its outcome."""
+        placement = self._find_or_adopt(host, running)
+        if placement is None:
+            return
+        placement.starting_at = host.reported_at
+        if placement.phase is RunPhase.ORDERED:
+            placement.phase = RunPhase.STARTING
+
     def _reconcile_run(self, host: HostState, running: RunningTask) -> None:
+        """Apply that a runner has begun a run."""
+        placement = self._find_or_adopt(host, running)
+        if placement is None:
+            return
+        job = placement.step.job
+        task = placement.step.tasks[placement.task.position]
+        if placement.phase in (RunPhase.ORDERED, RunPhase.STARTING):
+            placement.phase = RunPhase.RUNNING
+        self._mark_started(job)
+        track_speed(placement, running, self._clock.boottime())
+        if running.checkpoint and running.checkpoint != task.checkpoint:
+            task.checkpoint = running.checkpoint
+            self._changes.mark_checkpoint(job.job_id)
+
+    def _find_or_adopt(self, host: HostState, running: RunningTask) -> Placement | None:
+        """Return the placement of a reported run, or stop the run if it is unwanted."""
         key = parse_task_key(running.task)
         step = self._adopt_started_step(key)
         if key is None or step is None:
             self._stop_unwanted_run(host, running)
-            return
-        job = step.job
+            return None
         task = step.tasks[key.position]
         placement = self._runs.find(key)
         if placement is None:
             if task.done or running.run <= task.ended_run:
                 self._stop_unwanted_run(host, running)
-                return
+                return None
             placement = self._runs.place(step, key.position, host, running.run)
-            placement.phase = RunPhase.RUNNING
-            self._mark_started(job)
-            if job.phase.final:
+            # Not ordered by this leader.
+            placement.phase = RunPhase.STARTING
+            if step.job.phase.final:
                 self._runs.stop(placement)
         elif placement.host != host.name or placement.run != running.run:
             self._stop_unwanted_run(host, running)
-            return
-        if placement.phase is RunPhase.ORDERED:
-            placement.phase = RunPhase.RUNNING
-            self._mark_started(job)
-        track_speed(placement, running, self._clock.boottime())
-        if running.checkpoint and running.checkpoint != task.checkpoint:
-            task.checkpoint = running.checkpoint
-            self._changes.mark_checkpoint(job.job_id)
+            return None
+        return placement
 
     def _stop_unwanted_run(self, host: HostState, running: RunningTask) -> None:
         unwanted = UnwantedRun(running.task, running.run)
--- a/src/egretcrank/scheduling/runs.py
+++ b/src/egretcrank/scheduling/runs.py
@@ -55,7 +55,6 @@
         step.spread[host.name] = step.spread.get(host.name, 0) + 1
         if step.started_at is None:
             step.started_at = now
-        step.job.started = True
         step.job.active_runs += 1
         step.job.idle_since = None
         host.tasks.add(key)
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -30,9 +30,13 @@
 
 
 class RunPhase(StrEnum):
-    """State of a run that may hold capacity of a host."""
+    """State of a run that may hold capacity of a host.
+
+    An agent has named a run that is ``STARTING``, which may have had no effect yet.
+    """
 
     ORDERED = "ordered"
+    STARTING = "starting"
     RUNNING = "running"
     STOPPING = "stopping"
 
@@ -189,8 +193,6 @@
         self.phase = Phase.QUEUED
         self.ended_at: datetime | None = None
         self.occurrences: dict[int, list[StepState]] = {}
-        # Whether any task has ever been placed.
-        self.started = False
         # Number of runs that hold capacity, and the time since which there are none.
         self.active_runs = 0
         self.idle_since: timedelta | None = None
@@ -256,6 +258,14 @@
             step.complete for steps in self.occurrences.values() for step in steps
         )
 
+    @property
+    def started(self) -> bool:
+        """Return whether a task has begun or may be about to.
+
+        A start that turns out to have had no effect does not count any more.
+        """
+        return self.phase is not Phase.QUEUED or self.active_runs > 0
+
     @property
     def is_suspect(self) -> bool:
         """Return whether each further task of the job may crash a runner."""
@@ -290,7 +300,6 @@
     def restore(self, progress: ProgressRecord) -> None:
         """Load the progress that is stored on the log."""
         self.phase = progress.phase
-        self.started = progress.phase is not Phase.QUEUED
         if progress.ended_at:
             self.ended_at = datetime.fromtimestamp(progress.ended_at, UTC)
         for occurrence, records in progress.occurrences.items():
