Check the kind and the service of a runner before each start

Cause: the leader alone looked at labels and services, by its last report of the host, which may be of a former process. The agent reported a change of draining or capacity at once, and one of labels, service or process with the next periodic report. Orders that waited for the former process were carried out by the next.

Ruled out: a start that is on its way while the runner restarts. In the case the runner is away for 1 s with broken connections, and the agent refuses starts from the first failed poll on.

Fix: a message with orders says what their steps require. The agent checks that against the description of the runner process that replied last, just before the call, and refuses a start without one. Any change of the description is reported at once.

--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -18,6 +18,7 @@
 from egretcrank.settings.platform import BoundSettings
 from egretcrank.wire.hosting import (
     NO_ROOM,
+    UNSUITABLE,
     WITHDRAWN,
     EndedTask,
     HostOrders,
@@ -27,10 +28,13 @@
     RefusedStart,
     Run,
     RunnerInfo,
+    RunnerRequirement,
     RunningTask,
     StartOrder,
     TaskProfile,
     find_job,
+    find_step,
+    is_suitable,
 )
 
 # The clocks of the runner and of this host differ in rate by at most 2 percent.
@@ -72,11 +76,15 @@
 
 
 class WaitingStart(NamedTuple):
-    """A start that was ordered in ``session`` and has not been sent yet."""
+    """A start that was ordered in ``session`` and has not been sent yet.
+
+    ``requirement`` is unset if the leader sends none.
+    """
 
     order: StartOrder
     session: tuple[int, int]
     accepted_at: timedelta
+    requirement: RunnerRequirement | None = None
 
     @property
     def run(self) -> Run:
@@ -585,7 +593,8 @@
                     break
                 start = order.start._replace(spec=spec)
                 order = order._replace(start=start)
-                waiting = WaitingStart(start, session, received_at)
+                requirement = _find_requirement(message, start.task)
+                waiting = WaitingStart(start, session, received_at, requirement)
                 self._starting[waiting.run] = order.number
                 self._waiting[waiting.run] = waiting
                 self.profiles[start.task] = start.profile
@@ -646,6 +655,8 @@
             return Failure(OUTDATED)
         if self.runner is None or self.runner.draining:
             return Failure("draining")
+        if not self._is_runner_suitable(waiting.requirement):
+            return Failure(UNSUITABLE)
         deadline = self.compute_lease_deadline(now)
         if deadline is None:
             return Failure("no authority")
@@ -654,6 +665,22 @@
         self.mark_sent(run, now)
         return Success(StartPermit(deadline, self.born))
 
+    def _is_runner_suitable(self, requirement: RunnerRequirement | None) -> bool:
+        """Return whether the runner, as it is now, meets the requirement of a start."""
+        if requirement is None:
+            return True
+        runner = self._find_described_runner()
+        return runner is not None and is_suitable(runner, *requirement)
+
+    def _find_described_runner(self) -> RunnerInfo | None:
+        """Return the description of the runner, unless it is of a former process.
+
+        That of the next process may arrive before the reply to a poll of it.
+        """
+        if self.runner is None or self.runner.born < self.born:
+            return None
+        return self.runner
+
     def mark_sent(self, run: Run, now: timedelta) -> None:
         """Record that a start is about to be sent to the runner."""
         self._crash_watch.mark_sent(run, now)
@@ -682,11 +709,7 @@
         if not self._are_demands_sent:
             return True
         load = self._rooms.add_up(self._list_held_runs())
-        # The description of a former runner process tells nothing of this one. That of
-        # the next one may arrive before the reply to a poll of it.
-        runner = self.runner
-        if runner is not None and runner.born < self.born:
-            runner = None
+        runner = self._find_described_runner()
         if runner is not None and fits(load, runner):
             return True
         self._rooms.release(run)
@@ -843,3 +866,13 @@
             for refusal, first in self._refused.items()
             if not first or first > sequence
         }
+
+
+def _find_requirement(message: HostOrders, task: str) -> RunnerRequirement | None:
+    """Return what a task requires of its runner, if the leader sends requirements.
+
+    No runner meets a requirement that is missing in the message.
+    """
+    if message.requirements is None:
+        return None
+    return message.requirements.get(find_step(task), RunnerRequirement("", ""))
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -25,8 +25,10 @@
 )
 from egretcrank.scheduling.moves import track_speed
 from egretcrank.scheduling.outbox import EMPTY_BATCH
+from egretcrank.scheduling.placement import is_eligible
 from egretcrank.scheduling.planner import Planner, build_profile
 from egretcrank.scheduling.records import Phase
+from egretcrank.scheduling.requirements import list_requirements
 from egretcrank.scheduling.runs import GONE, HOST_LOST, RUNNER_RESTARTED, Runs
 from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.table import JobEntry, JobTable
@@ -39,6 +41,7 @@
 )
 from egretcrank.wire.hosting import (
     NO_ROOM,
+    UNSUITABLE,
     WITHDRAWN,
     EndedTask,
     HostOrders,
@@ -347,6 +350,7 @@
         host.ends_omitted = report.ends_omitted
         host.runner_left = report.leaving
         host.runner_silent = report.silent
+        host.runner_described = report.runner is not None
         host.profiles_due = report.unprofiled > 0
         host.outbox.confirm(report.applied, now)
         self._record_suspects(host, report)
@@ -460,6 +464,9 @@
                 extra={
                     "host": host.name,
                     "runner": runner.runner_id,
+                    "born": runner.born,
+                    "service": runner.service,
+                    "labels": runner.labels,
                     "draining": runner.draining,
                     "cpu": runner.cpu,
                     "memory": runner.memory,
@@ -605,8 +612,13 @@
         self._runs.release(placement, f"start refused: {refused.reason}")
         if refused.reason == WITHDRAWN:
             return
-        # A host without room by the leader's own figures needs no further time.
-        if refused.reason != NO_ROOM or host.can_hold(placement.step.definition):
+        service = self._find_queue(placement.step.job).service
+        is_expected = refused.reason in (NO_ROOM, UNSUITABLE) and not is_eligible(
+            placement.step, service, host
+        )
+        # A host that has no room or is unsuitable by the leader's own figures needs no
+        # further time.
+        if not is_expected:
             host.avoid_until = self._clock.boottime() + REFUSAL_BACKOFF
 
     def _handle_end(self, host: HostState, ended: EndedTask) -> None:
@@ -853,6 +865,9 @@
                         self._compute_start_seconds(host, now) if host.attached else 0.0
                     ),
                     last_order=host.outbox.last_number if host.attached else 0,
+                    requirements=list_requirements(
+                        self._runs, batch.orders, self._find_queue
+                    ),
                 ),
             )
 
--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -10,6 +10,7 @@
 from egretcrank.scheduling.definitions import Step
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.tasks import StepState
+from egretcrank.wire.hosting import is_suitable
 
 # Utilization headroom of a serving task for which none has been reported yet.
 DEFAULT_HEADROOM = 0.2
@@ -182,9 +183,9 @@
     """Return whether a host is allowed and able to run a task of the step now."""
     definition = step.definition
     runner = host.runner
-    if runner is None or runner.service != service or not host.can_hold(definition):
+    if runner is None or not is_suitable(runner, service, definition.label):
         return False
-    if definition.label and definition.label not in runner.labels:
+    if not host.can_hold(definition):
         return False
     limit = definition.spread_limit
     return not limit or step.spread.get(host.name, 0) < limit
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -65,6 +65,8 @@
 
 # Reason of a refusal for lack of room on the runner.
 NO_ROOM = "room"
+# Reason of a refusal as the runner is of another kind or service than is required.
+UNSUITABLE = "unsuitable"
 # Reason of a refusal of a start that a stop overtook.
 WITHDRAWN = "withdrawn"
 
@@ -126,12 +128,20 @@
 
 
 def is_use_changed(known: RunnerInfo, runner: RunnerInfo) -> bool:
-    """Return whether a runner can take other tasks than by its former description."""
-    return known.draining != runner.draining or (
-        get_capacity(known) != get_capacity(runner)
+    """Return whether a runner can take other tasks than by its former description.
+
+    A new process runs nothing, and may be of another kind.
+    """
+    return known._replace(remaining_seconds=0.0) != (
+        runner._replace(remaining_seconds=0.0)
     )
 
 
+def is_suitable(runner: RunnerInfo, service: str, label: str) -> bool:
+    """Return whether a runner serves a service and has a label, if one is given."""
+    return runner.service == service and (not label or label in runner.labels)
+
+
 class TaskProfile(NamedTuple):
     """Properties of a task by which an agent controls paces.
 
@@ -157,6 +167,18 @@
     accelerators: int
 
 
+class RunnerRequirement(NamedTuple):
+    """What the tasks of a step require of a runner; ``label`` may be empty."""
+
+    service: str
+    label: str
+
+
+def find_step(task: str) -> str:
+    """Return the name of the step that a task belongs to."""
+    return task.rpartition(".")[0]
+
+
 def find_job(task: str) -> str:
     """Return the job that a task name belongs to."""
     return task.partition(".")[0]
@@ -254,7 +276,8 @@
     cancelled without the leader knowing. A leader of a release that knows no such limit
     leaves it unset. ``last_order`` is the number of the last order of the session. An
     agent that has applied fewer has missed a message, perhaps with a stop, and sends no
-    start until it has applied them.
+    start until it has applied them. ``requirements`` are those of the steps whose tasks
+    ``orders`` start, by name; a leader of a release that sends none leaves it unset.
     """
 
     epoch: int = 0
@@ -274,6 +297,7 @@
     demands: dict[str, TaskDemand] | None = None
     start_seconds: float | None = None
     last_order: int = 0
+    requirements: dict[str, RunnerRequirement] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -114,6 +114,9 @@
     def __init__(self, world: "World", name: str, capacity: int) -> None:
         self.world, self.name, self.capacity = world, name, capacity
         self.born = 0
+        self.kind, self.service = "a", "s"
+        # Time from the start of a process to its first heartbeat.
+        self.first_heartbeat_delay = timedelta()
         self.draining = False
         self.silent = False
         self.listening = True
@@ -179,7 +182,7 @@
         self.listening = True
         self.returns_at = None
         self.started_at = self.world.now()
-        self.heartbeat_at = self.world.now()
+        self.heartbeat_at = self.started_at + self.first_heartbeat_delay
         self.token = 0
         self.deadline = 0
         self.running: dict[str, ActiveRun] = {}
@@ -191,14 +194,13 @@
         self.count = 0
 
     def describe(self) -> RunnerInfo:
-        labels = ("a", "rack")
         return RunnerInfo(
             self.name,
             self.born,
-            "s",
+            self.service,
             "zone",
             "rack",
-            labels,
+            (self.kind, "rack"),
             self.capacity,
             self.memory,
             0,
@@ -553,6 +555,9 @@
         used = sum(self.find_cpu(task) for task in runner.running)
         if used + self.find_cpu(order.task) > runner.allowed_capacity:
             self.violations.append(f"{runner.name} is over its capacity")
+        label = self.find_step(order.task).label
+        if label not in ("", runner.kind) or runner.service != QUEUE.service:
+            self.violations.append(f"{order.task} starts on an unsuitable runner")
         tasks = [*runner.running, order.task]
         if sum(self.find_step(t).memory for t in tasks) > runner.allowed_memory:
             self.violations.append(f"{runner.name} is over its memory")
