Leave a full report due until the runner has described itself

What callers saw: a runner that was back after a crash got its first task up to a second after its first liveness report.

Cause: AgentState.build_report counted a full report as sent although the message was not marked full, as the description of the new runner process was missing. Once the leader had answered it, the next one came with the interval of a second.

The test fails without the change (the leader holds the former process), and passes with it.

--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -792,7 +792,8 @@
         full = (
             self._full_report_due or now - self._full_report_at >= FULL_REPORT_INTERVAL
         )
-        full = full and self.has_snapshot
+        # Until the runner has described itself, a report cannot tell what it runs.
+        full = full and self.has_snapshot and self._has_consistent_runner()
         running: tuple[RunningTask, ...] = ()
         starting: tuple[tuple[str, int], ...] = ()
         pressures: tuple[Pressure, ...] = ()
@@ -821,7 +822,7 @@
             applied=self.applied,
             sent_at=now.total_seconds(),
             runner=self.runner if self._has_consistent_runner() else None,
-            full=full and self._has_consistent_runner(),
+            full=full,
             running=running,
             starting=starting,
             ended=tuple(
--- a/tests/test_changed_runners.py
+++ b/tests/test_changed_runners.py
@@ -133,6 +133,27 @@
         self.assertNotIn(b"start refused", rendered)
 
 
+class ReportTests(AsyncTestCase):
+    """Reports on a runner process that has not described itself yet."""
+
+    def test_a_full_report_stays_due_until_the_runner_has_described_itself(self):
+        """Guards against a restarted runner out of use for up to a second more.
+
+        A report that cannot be full yet must not count as the full one that is due.
+        """
+        world = build_world(9)
+        agent, runner = world.agents["h0"], world.runners[0]
+        runner.first_heartbeat_delay = HEARTBEAT_INTERVAL
+        runner.crash(TICK)
+        world.run(HEARTBEAT_INTERVAL.total_seconds())
+        self.assertNotEqual(agent.state.runner, runner.describe())
+        while agent.state.runner != runner.describe():
+            world.step()
+        cell = world.leader.cell
+        assert cell is not None
+        self.assertEqual(cell.hosts["h0"].runner, runner.describe())
+
+
 class HeartbeatTests(AsyncTestCase):
     """Heartbeats that tell the leader something new."""
 
