Send starts only over connections that a poll has opened

Cause: a start that found no idle connection opened one, to whoever listened at the address by then. The header Egretcrank-Expected-Instance names the id alone, which the next process of a runner keeps. After a loss of power open connections do not break, so that for up to a second the agent knows nothing of the next process.

Fix: a connection leads to the process that has answered on it, or to none. Starts share their connections with polls only, and open none. Where none is idle, the agent polls the runner and permits the start anew by the reply. Stops and paces have connections of their own, as they may open some.

Ruled out: a poll before each start (a call more for each start), and a bound to the lease's end (the next process reads it on a clock that began anew).

--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -29,6 +29,8 @@
 START_THREADS = 4
 STOP_THREADS = 4
 POLL_DELAY_AFTER_FAILURE = timedelta(milliseconds=150)
+# Polls that open a connection for a start; other starts may take it first.
+MAX_OPENING_POLLS = 3
 
 logger = logging.getLogger(__name__)
 
@@ -107,6 +109,7 @@
 
     def _start(self, waiting: WaitingStart) -> None:
         run = waiting.run
+        opening_polls = 0
         while True:
             with self._lock:
                 now = self._clock.boottime()
@@ -145,11 +148,38 @@
                 case Success(CommandResult(_, refusal)):
                     self._report_refusal(run, refusal)
                     return
+                case Failure(problem) if (
+                    was_not_run(problem.kind)
+                    and opening_polls < MAX_OPENING_POLLS
+                    and self._open_connection()
+                ):
+                    # What was permitted for the former process may not be for this one.
+                    opening_polls += 1
                 case Failure(problem):
                     self._metrics.count_runner_call("start", problem)
                     self._handle_unanswered_start(run, problem, permit.born)
                     return
 
+    def _open_connection(self) -> bool:
+        """Open a connection for starts; return whether the runner has answered on it.
+
+        The reply tells which runner process the connection leads to.
+        """
+        while True:
+            token = self._token.value
+            with self._lock:
+                poll = self._state.begin_poll()
+            match self._runner.poll(None, token, 0, timedelta()):
+                case Success(snapshot):
+                    self._metrics.count_runner_call("look", None)
+                    self._apply_snapshot(snapshot, poll)
+                    return True
+                case Failure(Problem(kind=ErrorKind.STALE_EPOCH)):
+                    self._token.advance(token)
+                case Failure(problem):
+                    self._metrics.count_runner_call("look", problem)
+                    return False
+
     def _handle_unanswered_start(self, run: Run, problem: Problem, born: int) -> None:
         may_have_run = not was_not_run(problem.kind)
         with self._lock:
--- a/src/egretcrank/platform/calls.py
+++ b/src/egretcrank/platform/calls.py
@@ -1,6 +1,8 @@
 """HTTP client whose errors tell whether a request may have had an effect."""
 
-from collections.abc import Mapping
+import threading
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from datetime import timedelta
 from typing import NamedTuple, TypeVar
 
@@ -16,6 +18,28 @@
 
 BodyT = TypeVar("BodyT")
 
+# Whether the current thread may open connections.
+_openings = threading.local()
+
+
+class _Connection(urllib3.connection.HTTPConnection):
+    """Connection that a request may have to find open."""
+
+    def connect(self) -> None:
+        if not getattr(_openings, "allowed", True):
+            raise urllib3.exceptions.NewConnectionError(self, "no connection is open")
+        super().connect()
+
+
+@contextmanager
+def forbid_connecting() -> Iterator[None]:
+    """Let calls of this thread fail as ``unreachable`` unless a connection is open."""
+    _openings.allowed = False
+    try:
+        yield
+    finally:
+        _openings.allowed = True
+
 
 class Response(NamedTuple):
     """Status and body of an HTTP response."""
@@ -37,6 +61,7 @@
         self._pool = urllib3.connection_from_url(
             f"http://{address}", maxsize=connections, block=False, retries=False
         )
+        self._pool.ConnectionCls = _Connection
 
     def call(
         self,
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -14,7 +14,12 @@
     Name,
     Percent,
 )
-from egretcrank.platform.calls import HttpClient, Response, decode_body
+from egretcrank.platform.calls import (
+    HttpClient,
+    Response,
+    decode_body,
+    forbid_connecting,
+)
 from egretcrank.platform.rows import (
     decode_cell,
     decode_cells,
@@ -87,10 +92,15 @@
 
     A call may take effect long after it timed out. The fencing ``token`` limits this:
     the runner rejects calls with a lower token than the highest it has seen.
+
+    Another process may take the place of the runner at any time. A start uses only
+    connections that polls have opened: they lead to the process that answered the
+    poll, or to none.
     """
 
     def __init__(self, address: str) -> None:
         self._client = HttpClient(address, MAX_CONNECTIONS)
+        self._command_client = HttpClient(address, MAX_CONNECTIONS)
         # Expected runner instance; another instance at the address rejects the calls.
         self.instance = ""
 
@@ -100,7 +110,7 @@
         """Start a run.
 
         Extends the lease of all runs on the runner to ``deadline``, in milliseconds of
-        its clock.
+        its clock. Fails as ``unreachable`` if there is no idle connection.
         """
         body: dict[str, Any] = {
             "task": order.task,
@@ -113,21 +123,27 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        return self._post("/-/run-start", body, CALL_TIMEOUT).bind(
-            _parse_command_result
-        )
+        with forbid_connecting():
+            response = self._post(self._client, "/-/run-start", body, CALL_TIMEOUT)
+        return response.bind(_parse_command_result)
 
     def stop(self, task: str, run: int, token: int) -> Result[CommandResult, Problem]:
         """Stop a run; its capacity is free once the run is listed as ended."""
         body = {"task": task, "run": run, "fencing_token": token}
-        return self._post("/-/run-stop", body, CALL_TIMEOUT).bind(_parse_command_result)
+        return self._command("/-/run-stop", body)
 
     def set_pace(
         self, task: str, run: int, percent: int, token: int
     ) -> Result[CommandResult, Problem]:
         """Throttle a task to a percentage of its full speed."""
         body = {"task": task, "run": run, "percent": percent, "fencing_token": token}
-        return self._post("/-/pace", body, CALL_TIMEOUT).bind(_parse_command_result)
+        return self._command("/-/pace", body)
+
+    def _command(
+        self, url: str, body: dict[str, Any]
+    ) -> Result[CommandResult, Problem]:
+        response = self._post(self._command_client, url, body, CALL_TIMEOUT)
+        return response.bind(_parse_command_result)
 
     def poll(
         self, deadline: int | None, token: int, acknowledged: int, wait: timedelta
@@ -142,18 +158,20 @@
             body["deadline_ms"] = deadline
         if wait:
             body["wait_ms"] = int(wait / timedelta(milliseconds=1))
-        return self._post("/-/hold", body, wait + POLL_MARGIN).bind(_parse_snapshot)
+        response = self._post(self._client, "/-/hold", body, wait + POLL_MARGIN)
+        return response.bind(_parse_snapshot)
 
     def _post(
-        self, url: str, body: dict[str, Any], timeout: timedelta
+        self, client: HttpClient, url: str, body: dict[str, Any], timeout: timedelta
     ) -> Result[Response, Problem]:
         headers = {INSTANCE_HEADER: self.instance} if self.instance else {}
         data = msgspec.json.encode(body)
-        return self._client.call("POST", url, data, timeout, headers)
+        return client.call("POST", url, data, timeout, headers)
 
     def close(self) -> None:
         """Close idle connections."""
         self._client.close()
+        self._command_client.close()
 
 
 def _parse_command_result(response: Response) -> Result[CommandResult, Problem]:
