--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -350,7 +350,7 @@
         host.ends_omitted = report.ends_omitted
         host.runner_left = report.leaving
         host.runner_silent = report.silent
-        host.runner_described = report.runner is not None
+        host.runner_undescribed = report.runner is None
         host.profiles_due = report.unprofiled > 0
         host.outbox.confirm(report.applied, now)
         self._record_suspects(host, report)
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -53,8 +53,8 @@
         self.registered = False
         self.runner_left = False
         self.runner_silent = False
-        # Whether ``runner`` describes the runner process that replied last.
-        self.runner_described = False
+        # Whether the runner process that replied last has not described itself yet.
+        self.runner_undescribed = False
         # When the last report of a session was applied, and when that report was sent,
         # on the agent's clock.
         self.reported_at = timedelta()
@@ -164,7 +164,7 @@
             and not self.runner_silent
             and not self.unwanted_runs
             and self.runner is not None
-            and self.runner_described
+            and not self.runner_undescribed
             and not self.runner.draining
             and now - self.reported_at < REPORT_TIMEOUT
             and now >= self.avoid_until
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -7,6 +7,7 @@
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.definitions import JobDefinition
 from egretcrank.scheduling.ordering import order_steps
+from egretcrank.scheduling.records import Phase
 from egretcrank.scheduling.tasks import LATE_FACTOR, Job, StepState
 from tests.cases import AsyncTestCase, ManualClock
 from tests.cell_world import build_step
@@ -97,7 +98,7 @@
                     return
                 step.waiting.discard(index)
                 step.started_at = step.started_at or now
-                step.job.started = True
+                step.job.phase = Phase.RUNNING
                 work = WORK * self.rng.uniform(0.7, 1.3)
                 self.running.append((now + work, step, index))
 
