Move the poll for a start's connection out of a guard

A guard of `match` polled the runner, which a reader does not expect there. No change of behaviour: the tests of connections and of the turns of orders pass as before.

--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -148,14 +148,13 @@
                 case Success(CommandResult(_, refusal)):
                     self._report_refusal(run, refusal)
                     return
-                case Failure(problem) if (
-                    was_not_run(problem.kind)
-                    and opening_polls < MAX_OPENING_POLLS
-                    and self._open_connection()
-                ):
-                    # What was permitted for the former process may not be for this one.
-                    opening_polls += 1
                 case Failure(problem):
+                    may_poll = opening_polls < MAX_OPENING_POLLS
+                    if was_not_run(problem.kind) and may_poll:
+                        opening_polls += 1
+                        if self._open_connection():
+                            # The runner may be another process, so ask again.
+                            continue
                     self._metrics.count_runner_call("start", problem)
                     self._handle_unanswered_start(run, problem, permit.born)
                     return
