Let the poll for a start's connection be refused in the test of blame

A start opens none any more, it fails as unreachable, and the poll that would open one is refused. The script says so now, and the test checks that the poll was made. Its assertions on suspects, the report and the metric are as they were.

--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -738,8 +738,10 @@
 
     def test_a_start_that_no_process_has_received_is_not_blamed(self):
         """Guards against blaming a start that was sent to a dead process."""
-        self.runner.starts = [fail(ErrorKind.CONNECTION_REFUSED)]
+        self.runner.starts = [fail(ErrorKind.UNREACHABLE)]
+        self.runner.polls = [fail(ErrorKind.CONNECTION_REFUSED)]
         self.execute(OTHER)
+        self.assertEqual(self.runner.polls, [])
         self.agent._report_due.clear()
         snapshot = RunnerSnapshot(5, NEXT, (), ())
         self.agent._apply_snapshot(snapshot, self.state.begin_poll())
