Send starts only over connections to the process that they are permitted for

Cause: a poll that opened a connection returned it to the pool before its reply was applied. Another thread that held a permission for the former runner process could use it, and its start reached the next process at the address. The thread has to stand still for as long as the runner is down, which needs a frozen or overloaded machine or a quick restart.

Change: a connection knows the process that has answered a poll on its socket, and a start names the process whose description was checked. Without a connection to that process it polls and is permitted anew.

--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -123,7 +123,9 @@
                 case Success(permit):
                     pass
             self._metrics.order_wait_seconds.add({}, waited.total_seconds())
-            started = self._runner.start(waiting.order, permit.deadline, token)
+            started = self._runner.start(
+                waiting.order, permit.deadline, token, permit.process
+            )
             duration = self._clock.boottime() - now
             self._metrics.runner_seconds.add({}, duration.total_seconds())
             match started:
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -96,10 +96,13 @@
     """Permission to send a start now.
 
     ``deadline`` is the end of the lease on the clock of the runner process ``born``.
+    The start is meant for ``process`` alone, the one whose description was checked. It
+    differs from ``born`` until the first reply of that process.
     """
 
     deadline: int
     born: int
+    process: int
 
 
 class AgentState:
@@ -663,7 +666,12 @@
         if not self.reserve_start(run):
             return Failure(NO_ROOM)
         self.mark_sent(run, now)
-        return Success(StartPermit(deadline, self.born))
+        return Success(StartPermit(deadline, self.born, self._find_start_process()))
+
+    def _find_start_process(self) -> int:
+        """Return the runner process that permitted starts are meant for."""
+        runner = self._find_described_runner()
+        return runner.born if runner is not None else self.born
 
     def _is_runner_suitable(self, requirement: RunnerRequirement | None) -> bool:
         """Return whether the runner, as it is now, meets the requirement of a start."""
--- a/src/egretcrank/platform/calls.py
+++ b/src/egretcrank/platform/calls.py
@@ -1,10 +1,11 @@
 """HTTP client whose errors tell whether a request may have had an effect."""
 
+import socket
 import threading
 from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from datetime import timedelta
-from typing import NamedTuple, TypeVar
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
 import urllib3
@@ -18,27 +19,60 @@
 
 BodyT = TypeVar("BodyT")
 
-# Whether the current thread may open connections.
-_openings = threading.local()
-
 
 class _Connection(urllib3.connection.HTTPConnection):
-    """Connection that a request may have to find open."""
+    """Connection that may be known to lead to one server process.
+
+    ``identified`` is the socket on which a reply has identified the process, and that
+    process. A connection that is opened anew has another socket.
+    """
+
+    identified: "tuple[socket.socket, int] | None" = None
+
+    def request(self, *args: Any, **kwargs: Any) -> None:
+        required = _thread.required_process
+        if required and self.identified != (self.sock, required):
+            message = "no open connection to the process is known"
+            raise urllib3.exceptions.NewConnectionError(self, message)
+        super().request(*args, **kwargs)
+        _thread.connection, _thread.socket = self, self.sock
+
+
+class _ThreadState(threading.local):
+    """Restriction of the calls of one thread, and the connection that it used last.
+
+    ``required_process`` is 0 while calls may use any connection and open new ones.
+    """
 
-    def connect(self) -> None:
-        if not getattr(_openings, "allowed", True):
-            raise urllib3.exceptions.NewConnectionError(self, "no connection is open")
-        super().connect()
+    required_process = 0
+    connection: _Connection | None = None
+    socket: "socket.socket | None" = None
+
+
+_thread = _ThreadState()
 
 
 @contextmanager
-def forbid_connecting() -> Iterator[None]:
-    """Let calls of this thread fail as ``unreachable`` unless a connection is open."""
-    _openings.allowed = False
+def require_process(process: int) -> Iterator[None]:
+    """Restrict this thread's calls to open connections to one server process.
+
+    Without such a connection they fail as ``unreachable``.
+    """
+    _thread.required_process = process
     try:
         yield
     finally:
-        _openings.allowed = True
+        _thread.required_process = 0
+
+
+def identify_process(process: int) -> None:
+    """Record that the last reply to this thread came from a server process.
+
+    The open connection leads to that process for good. Another thread may be using it
+    by now, but none that requires a process.
+    """
+    if _thread.connection is not None and _thread.socket is not None:
+        _thread.connection.identified = (_thread.socket, process)
 
 
 class Response(NamedTuple):
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -18,7 +18,8 @@
     HttpClient,
     Response,
     decode_body,
-    forbid_connecting,
+    identify_process,
+    require_process,
 )
 from egretcrank.platform.rows import (
     decode_cell,
@@ -94,8 +95,7 @@
     the runner rejects calls with a lower token than the highest it has seen.
 
     Another process may take the place of the runner at any time. A start uses only
-    connections that polls have opened: they lead to the process that answered the
-    poll, or to none.
+    connections on which the process that it is meant for has answered a poll.
     """
 
     def __init__(self, address: str) -> None:
@@ -105,12 +105,13 @@
         self.instance = ""
 
     def start(
-        self, order: StartOrder, deadline: int, token: int
+        self, order: StartOrder, deadline: int, token: int, process: int
     ) -> Result[CommandResult, Problem]:
-        """Start a run.
+        """Start a run on the runner process ``process``.
 
         Extends the lease of all runs on the runner to ``deadline``, in milliseconds of
-        its clock. Fails as ``unreachable`` if there is no idle connection.
+        its clock. Fails as ``unreachable`` if the idle connection that it would use is
+        not known to lead to that process, or if there is none.
         """
         body: dict[str, Any] = {
             "task": order.task,
@@ -123,7 +124,7 @@
             body["checkpoint"] = order.checkpoint
         if order.ticket:
             body["ticket"] = order.ticket
-        with forbid_connecting():
+        with require_process(process):
             response = self._post(self._client, "/-/run-start", body, CALL_TIMEOUT)
         return response.bind(_parse_command_result)
 
@@ -159,7 +160,10 @@
         if wait:
             body["wait_ms"] = int(wait / timedelta(milliseconds=1))
         response = self._post(self._client, "/-/hold", body, wait + POLL_MARGIN)
-        return response.bind(_parse_snapshot)
+        snapshot = response.bind(_parse_snapshot)
+        if isinstance(snapshot, Success):
+            identify_process(snapshot.unwrap().born)
+        return snapshot
 
     def _post(
         self, client: HttpClient, url: str, body: dict[str, Any], timeout: timedelta
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -162,9 +162,9 @@
         tokens: list[int] = []
         start, poll = self.runner.start, self.runner.poll
 
-        def note_start(order: StartOrder, deadline: int, token: int) -> Any:
-            tokens.append(token)
-            return start(order, deadline, token)
+        def note_start(*args: Any) -> Any:
+            tokens.append(args[2])
+            return start(*args)
 
         def note_poll(*args: Any) -> Any:
             tokens.append(args[1])
@@ -183,7 +183,7 @@
         """Guards against starts that are refused beside one that is settled."""
         tokens: list[int] = []
 
-        def start(order: StartOrder, deadline: int, token: int) -> Any:
+        def start(order: StartOrder, deadline: int, token: int, process: int) -> Any:
             tokens.append(token)
             return Success(CommandResult(0, FENCED if len(tokens) == 1 else ""))
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -208,9 +208,9 @@
             ((503, b""), "unhealthy"),
         ]
         for response, refusal in cases:
-            started = self._request(response).start(order, 10, 1).unwrap()
+            started = self._request(response).start(order, 10, 1, 1).unwrap()
             self.assertEqual(started.refusal, refusal)
-        self.assertIsInstance(self._request((500, b"")).start(order, 10, 1), Failure)
+        self.assertIsInstance(self._request((500, b"")).start(order, 10, 1, 1), Failure)
 
 
 class HeartbeatTests(AsyncTestCase):
--- a/tests/test_rooms.py
+++ b/tests/test_rooms.py
@@ -440,7 +440,7 @@
         self.started: list[str] = []
 
     def start(
-        self, order: StartOrder, deadline: int, token: int
+        self, order: StartOrder, deadline: int, token: int, process: int
     ) -> Result[CommandResult, Problem]:
         self.started.append(order.task)
         threading.Event().wait(0.2)
--- a/tests/test_runner_connections.py
+++ b/tests/test_runner_connections.py
@@ -13,6 +13,7 @@
 from egretcrank.agent.tokens import FencingToken
 from egretcrank.errors.answers import was_not_run
 from egretcrank.observability.metrics import Metrics
+from egretcrank.platform import calls
 from egretcrank.platform.runner import Runner, RunnerSnapshot
 from egretcrank.wire.hosting import (
     HostOrders,
@@ -117,7 +118,7 @@
         return successor
 
     def start(self) -> Any:
-        return self.runner.start(ORDER, 6000, 1)
+        return self.runner.start(ORDER, 6000, 1, 1)
 
     def test_a_start_opens_no_connection(self):
         """Guards against a start that reaches whoever listens at the address."""
@@ -146,6 +147,34 @@
         self.assertIsInstance(self.start(), Failure)
         self.assertEqual(successor.paths, [])
 
+    def test_a_start_does_not_reach_the_process_that_another_thread_has_just_met(self):
+        """Guards against a start on another kind of runner.
+
+        It was permitted for the former process, and is sent once another thread's poll
+        has opened a connection to the next one, whose reply is not applied yet.
+        """
+        self.runner.poll(None, 1, 0, timedelta()).unwrap()
+        self.runner.close()
+        self.runner = Runner(f"127.0.0.1:{self.process.port}")
+        self.addCleanup(self.runner.close)
+        successor = self.replace_process()
+        self.runner.poll(None, 1, 0, timedelta()).unwrap()
+        self.assertIsInstance(self.start(), Failure)
+        self.assertEqual(successor.starts, 0)
+
+    def test_a_connection_that_was_opened_anew_is_not_known_by_its_former_reply(self):
+        """Guards against a reply that is noted after its connection was replaced."""
+        self.runner.poll(None, 1, 0, timedelta()).unwrap()
+        connection = calls._thread.connection
+        former_socket = calls._thread.socket
+        connection.close()
+        successor = self.replace_process()
+        self.runner.stop(TASK, 1, 1)
+        self.runner.poll(None, 1, 0, timedelta()).unwrap()
+        connection.identified = (former_socket, 1)
+        self.assertIsInstance(self.start(), Failure)
+        self.assertEqual(successor.starts, 0)
+
     def test_a_start_that_needs_a_connection_is_permitted_again_after_a_poll(self):
         """Guards against a start on another kind of runner, and against none at all."""
         clock, lock = ManualClock(), threading.RLock()
--- a/tests/test_withdrawn_orders.py
+++ b/tests/test_withdrawn_orders.py
@@ -67,7 +67,7 @@
         self.instance = ""
 
     def start(
-        self, order: StartOrder, deadline: int, token: int
+        self, order: StartOrder, deadline: int, token: int, process: int
     ) -> Result[CommandResult, Problem]:
         self._note(self.starts, Run(order.task, order.run))
         return self._answer()
