--- a/src/egretcrank/settings/parser.py
+++ b/src/egretcrank/settings/parser.py
@@ -31,6 +31,7 @@
 ValueT = TypeVar("ValueT")
 
 SERVICE_PREFIX = "service "
+NO_ENVIRONMENT: Mapping[str, str] = {}
 SECTIONS: Mapping[str, type[Any]] = {
     "process": ProcessSettings,
     "log": LogSettings,
@@ -64,21 +65,32 @@
 
 
 def parse_sections(
-    text: str, source: str, sections: Mapping[str, type[Any]]
+    text: str,
+    source: str,
+    sections: Mapping[str, type[Any]],
+    environment: Mapping[str, str] = NO_ENVIRONMENT,
 ) -> Result[dict[str, Any], tuple[Problem, ...]]:
-    """Parse settings with exactly the given sections, all of them required."""
-    return _parse(text, source, lambda reader: reader.read_sections(sections))
+    """Parse settings with exactly the given sections, all of them required.
+
+    Variables of ``environment`` replace the values of settings that name them.
+    """
+    return _parse(
+        text, source, lambda reader: reader.read_sections(sections), environment
+    )
 
 
 def _parse(
-    text: str, source: str, read: Callable[["_SettingsReader"], ValueT]
+    text: str,
+    source: str,
+    read: Callable[["_SettingsReader"], ValueT],
+    environment: Mapping[str, str] = NO_ENVIRONMENT,
 ) -> Result[ValueT, tuple[Problem, ...]]:
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         parser.read_string(text, source)
     except configparser.Error as error:
         return Failure((_build_problem(source, str(error), "INI sections and keys"),))
-    reader = _SettingsReader(parser, source)
+    reader = _SettingsReader(parser, source, environment)
     value = read(reader)
     if reader.problems:
         return Failure(tuple(reader.problems))
@@ -101,9 +113,15 @@
 class _SettingsReader:
     """Reads the sections of a settings file and collects problems."""
 
-    def __init__(self, parser: configparser.ConfigParser, source: str) -> None:
+    def __init__(
+        self,
+        parser: configparser.ConfigParser,
+        source: str,
+        environment: Mapping[str, str],
+    ) -> None:
         self._parser = parser
         self._source = source
+        self._environment = environment
         self.problems: list[Problem] = []
 
     def read_all(self, role: str) -> Settings:
@@ -178,19 +196,24 @@
                     section, key, "unknown key", _suggest(key, list(rules))
                 )
                 continue
-            rule, _ = rules[key]
-            match _parse_and_check(text.strip(), rule):
-                case Success(value):
-                    values[key] = value
-                case Failure(expected):
-                    self._add_problem(
-                        section, key, f"value {text!r} is invalid", expected
-                    )
+            self._read_value(section, key, text, rules[key][0], values)
         for key, (rule, _) in rules.items():
+            text = self._environment.get(rule.environment, "").strip()
+            if rule.environment and text:
+                self._read_value(section, key, text, rule, values)
             if rule.required and not self._parser.has_option(section, key):
                 self._add_problem(section, key, "key is missing", _describe_rule(rule))
         return values
 
+    def _read_value(
+        self, section: str, key: str, text: str, rule: Rule, values: dict[str, Any]
+    ) -> None:
+        match _parse_and_check(text.strip(), rule):
+            case Success(value):
+                values[key] = value
+            case Failure(expected):
+                self._add_problem(section, key, f"value {text!r} is invalid", expected)
+
     def _check_relations(self, settings: Settings) -> None:
         cluster = settings.cluster
         if cluster.suspect_seconds >= cluster.dead_seconds:
--- a/src/egretcrank/settings/platform.py
+++ b/src/egretcrank/settings/platform.py
@@ -1,5 +1,6 @@
 """Settings of controller and agent, rendered from the templates in deploy/."""
 
+import os
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -89,6 +90,22 @@
         minimum=1000,
     )
 
+    evacuation_milliseconds: float = setting(
+        Kind.NUMBER,
+        "Maximum time from the request to evacuate a failure domain to a start there;"
+        " 0 if no domain is ever evacuated.",
+        0.0,
+        environment="EGRETCRANK_EVACUATION_MILLISECONDS",
+    )
+    remote_factor: float = setting(
+        Kind.NUMBER,
+        "How many times as long a task takes away from its rack.",
+        1.0,
+        minimum=1,
+        maximum=100,
+        environment="EGRETCRANK_REMOTE_FACTOR",
+    )
+
     @property
     def lease(self) -> timedelta:
         """Return the maximum lease of a runner."""
@@ -99,6 +116,13 @@
         """Return the bound on starts after a cancellation."""
         return timedelta(milliseconds=self.cancel_milliseconds)
 
+    @property
+    def evacuation(self) -> timedelta | None:
+        """Return the bound on starts after a request to evacuate, if there is one."""
+        if not self.evacuation_milliseconds:
+            return None
+        return timedelta(milliseconds=self.evacuation_milliseconds)
+
 
 @dataclass(frozen=True, slots=True)
 class CallerSettings:
@@ -189,4 +213,6 @@
 def _load(
     path: Path, sections: dict[str, type[Any]]
 ) -> Result[dict[str, Any], tuple[Problem, ...]]:
-    return read_text(path).bind(lambda text: parse_sections(text, str(path), sections))
+    return read_text(path).bind(
+        lambda text: parse_sections(text, str(path), sections, os.environ)
+    )
--- a/src/egretcrank/settings/schema.py
+++ b/src/egretcrank/settings/schema.py
@@ -34,7 +34,8 @@
 class Rule(NamedTuple):
     """Type and valid range of a setting.
 
-    The bounds apply to integers, numbers and seconds.
+    The bounds apply to integers, numbers and seconds. ``environment`` is the variable
+    that replaces the value of the file unless it is empty, if there is one.
     """
 
     kind: Kind
@@ -42,6 +43,7 @@
     minimum: float = 0.0
     maximum: float = 1e12
     required: bool = False
+    environment: str = ""
 
 
 def setting(
@@ -52,9 +54,10 @@
     minimum: float = 0.0,
     maximum: float = 1e12,
     required: bool = False,
+    environment: str = "",
 ) -> Any:
     """Declare a data class field with its rule and default."""
-    rule = Rule(kind, meaning, minimum, maximum, required)
+    rule = Rule(kind, meaning, minimum, maximum, required, environment)
     return field(default=default, metadata={"rule": rule})
 
 
