Evacuate failure domains at the operator's request

Change: every controller follows these records; a compacted read is the whole list, as a deletion may have expired. The leader places nothing in these domains, withdraws starts that have not begun, and lets starts end with the age of its view of the operator's topic, where the deployment sets a bound (scheduling.evacuation, scheduling.views, controller.operator_records). The operator's records and the start window are modules of their own now, so that the daemon and the cell get smaller.

--- a/bench/leader.py
+++ b/bench/leader.py
@@ -239,7 +239,7 @@
             offset += 1
             timer.run("fold", partial(_apply_job_record, cell, table, record, job))
         cell.confirm(offset, now)
-        cell.confirm_view(now)
+        cell.window.confirm_jobs(now)
         for host in simulated_hosts.values():
             host.end_finished_runs(now)
             if now >= host.next_report_at or host.report_due:
--- a/bench/placement/world.py
+++ b/bench/placement/world.py
@@ -255,7 +255,7 @@
 
     def _decide(self, cell: Cell) -> None:
         cell.process_timeouts()
-        cell.confirm_view(self.clock.boottime())
+        cell.window.confirm_jobs(self.clock.boottime())
         cell.plan()
         for host, message in list(cell.take_orders()):
             self.agents[host.name].handle(message, self.now)
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -23,6 +23,7 @@
     Membership,
 )
 from egretcrank.controller.link import PeerLink, announce_leader
+from egretcrank.controller.operator_records import OperatorRecords
 from egretcrank.controller.service import JobService
 from egretcrank.controller.submissions import Submissions
 from egretcrank.controller.tail import Tail
@@ -32,14 +33,9 @@
 from egretcrank.observability.logs import flush_logs
 from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.ingress import Ingress
-from egretcrank.platform.manifest import (
-    CONFIGURATION_KEY,
-    OPERATOR_PARTITION,
-    OPERATOR_TOPIC,
-    parse_manifest,
-)
 from egretcrank.platform.readiness import ReadinessServer
 from egretcrank.platform.store import Appended, Store, encode_keyed
+from egretcrank.scheduling.catalog import Catalog
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.records import (
@@ -107,12 +103,14 @@
         self._jobs_tail = Tail(
             self._store, JOBS_TOPIC, CELL_PARTITION, clock, self._apply_records
         )
-        self._operator_tail = Tail(
+        # Failure domains in which nothing may start.
+        self._evacuated: frozenset[str] = frozenset()
+        self._operator_records = OperatorRecords(
             self._store,
-            OPERATOR_TOPIC,
-            OPERATOR_PARTITION,
             clock,
-            self._apply_operator_records,
+            self._metrics,
+            self._apply_catalog,
+            self._apply_evacuations,
         )
         self._submissions = Submissions(
             settings.host.name, settings.host.peer_address, clock
@@ -158,7 +156,7 @@
         self._http.prepare()
         for target in (
             self._jobs_tail.run,
-            self._operator_tail.run,
+            self._operator_records.run,
             self._link.run,
             self._run_election,
             self._run_decisions,
@@ -235,48 +233,19 @@
         if self._cell is not None and key.kind in CALLER_RECORD_KINDS:
             self._cell.apply_job(key.name)
 
-    def _apply_operator_records(self, records: tuple[StoredValue, ...]) -> None:
-        for stored in records:
-            if stored.key != CONFIGURATION_KEY or not stored.value:
-                continue
-            try:
-                self._apply_configuration(stored)
-            except Exception:
-                # As a page is read again until it is handled.
-                logger.exception(
-                    "configuration failed", extra={"offset": stored.offset}
-                )
-                self._metrics.log_records.inc({"stream": "operator", "result": "void"})
-
-    def _apply_configuration(self, stored: StoredValue) -> None:
-        match parse_manifest(stored.value):
-            case Success(catalog) if catalog.version > self._service.catalog.version:
-                with self._lock:
-                    self._service.catalog = catalog
-                    if self._cell is not None:
-                        self._cell.catalog = catalog
-                        self._request_decision()
-                logger.info(
-                    "configuration in force",
-                    extra={"version": catalog.version, "queues": len(catalog.queues)},
-                )
-            case Success(catalog):
-                logger.info(
-                    "ignoring configuration that is not newer",
-                    extra={"version": catalog.version},
-                )
-            case Failure(problem):
-                logger.error(
-                    "configuration rejected",
-                    extra={
-                        "detail": problem.detail,
-                        "where": problem.where,
-                        "expected": problem.expected,
-                    },
-                )
-                self._metrics.refusals.inc(
-                    {"source": "configuration", "kind": problem.kind.value}
-                )
+    def _apply_catalog(self, catalog: Catalog) -> None:
+        with self._lock:
+            self._service.catalog = catalog
+            if self._cell is not None:
+                self._cell.catalog = catalog
+                self._request_decision()
+
+    def _apply_evacuations(self, domains: frozenset[str]) -> None:
+        with self._lock:
+            self._evacuated = domains
+            if self._cell is not None:
+                self._cell.evacuated = domains
+                self._request_decision()
 
     # Leadership
 
@@ -376,6 +345,7 @@
         cell_settings = CellSettings(
             lease=bounds.lease,
             cancellation_bound=bounds.cancellation,
+            evacuation_bound=bounds.evacuation,
             keep_ended=bounds.keep_ended_seconds,
         )
         with self._lock:
@@ -384,6 +354,7 @@
                 return
             cell = Cell(cell_settings, self._clock, self._table, epoch, self._metrics)
             cell.catalog = self._service.catalog
+            cell.evacuated = self._evacuated
             cell.open(fence_offset, fenced_at)
             cell.confirm(end, appender.confirmed_at)
             self._cell = cell
@@ -463,7 +434,7 @@
                 if now >= next_tick:
                     cell.process_timeouts()
                     next_tick = now + TICK_INTERVAL
-                self._confirm_view(cell)
+                self._confirm_views(cell)
                 cell.plan()
                 orders = list(cell.take_orders())
                 elapsed = self._clock.boottime() - now
@@ -475,14 +446,17 @@
                 self._link.send(host.name, message)
             self._stopping.wait(DECISION_PAUSE.total_seconds())
 
-    def _confirm_view(self, cell: Cell) -> None:
+    def _confirm_views(self, cell: Cell) -> None:
         """Tell the cell how recent its records are; the caller must hold the lock.
 
-        The tail proves a read only after its records were applied to the cell.
+        A tail proves a read only after its records were applied to the cell.
         """
-        proven_at = self._jobs_tail.proven_at
-        if proven_at is not None:
-            cell.confirm_view(proven_at)
+        jobs_proven_at = self._jobs_tail.proven_at
+        if jobs_proven_at is not None:
+            cell.window.confirm_jobs(jobs_proven_at)
+        operator_proven_at = self._operator_records.proven_at
+        if operator_proven_at is not None:
+            cell.window.confirm_operator(operator_proven_at)
 
 
 def run_controller(settings: ControllerSettings) -> None:
--- a/src/egretcrank/controller/tail.py
+++ b/src/egretcrank/controller/tail.py
@@ -39,9 +39,9 @@
 class Tail:
     """Follows one partition of a keyed topic on its own thread.
 
-    ``on_records`` is called with each batch of records, in order. It is first called
-    with the newest record of each key, and again if the position to read on from has
-    expired.
+    ``on_records`` is called with each batch of records, in order. The first batch holds
+    the newest record of each key, as does the one after the position to read on from
+    has expired; ``on_newest`` is called with these instead, if given.
     """
 
     def __init__(
@@ -51,12 +51,14 @@
         partition: int,
         clock: Clock,
         on_records: Callable[[tuple[StoredValue, ...]], None],
+        on_newest: Callable[[tuple[StoredValue, ...]], None] | None = None,
     ) -> None:
         self._store = store
         self._topic = topic
         self._partition = partition
         self._clock = clock
         self._on_records = on_records
+        self._on_newest = on_newest
         self._position: int | None = None
         # All records that were stored before this time have been passed on.
         self._proven_at: timedelta | None = None
@@ -148,8 +150,7 @@
                 case Success(page):
                     self.failing_since = None
                     self._set_available(True, "")
-                    if page.records:
-                        self._on_records(page.records)
+                    self._pass_on(page)
                     with self._progress:
                         self._position = self._compute_next_position(page)
                         self._record_proof(started_at, page.end)
@@ -168,6 +169,13 @@
                     self._set_available(False, problem.detail)
                     self._stopped.wait(RETRY_DELAY.total_seconds())
 
+    def _pass_on(self, page: LogPage) -> None:
+        if self._position is None and self._on_newest is not None:
+            # Without any record, too, as that shows what was deleted.
+            self._on_newest(page.records)
+        elif page.records:
+            self._on_records(page.records)
+
     def _read(self) -> Result[LogPage, Problem]:
         if self._position is None:
             return self._store.read_newest(self._topic, self._partition)
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -138,6 +138,16 @@
             "Time for which records may have been stored that the leader has not read.",
             registry=self._registry,
         )
+        self.evacuated_domains = Gauge(
+            "egretcrank_evacuated_domains",
+            "Failure domains in which nothing may start, by the operator's request.",
+            registry=self._registry,
+        )
+        self.withdrawn_starts = Counter(
+            "egretcrank_starts_withdrawn_total",
+            "Starts that were withdrawn, as their failure domain is evacuated.",
+            registry=self._registry,
+        )
         self.runner_calls = Counter(
             "egretcrank_runner_calls_total",
             "Calls to the runner by call and result (ok or an error kind).",
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -19,6 +19,7 @@
 from egretcrank.scheduling.crashes import CrashRecorder
 from egretcrank.scheduling.definitions import TaskKey, parse_task_key
 from egretcrank.scheduling.demands import list_demands
+from egretcrank.scheduling.evacuation import is_evacuated, list_evacuated
 from egretcrank.scheduling.hosts import (
     HostState,
     UnwantedRun,
@@ -39,6 +40,7 @@
     StepState,
     Task,
 )
+from egretcrank.scheduling.views import StartWindow
 from egretcrank.wire.hosting import (
     NO_ROOM,
     UNSUITABLE,
@@ -130,9 +132,9 @@
         self._authority_until = timedelta()
         # When a host last attached.
         self._attached_at = timedelta()
-        # All records that were stored before this time have been applied.
-        self._view_proven_at = timedelta()
-        self._is_view_recent = True
+        self.window = StartWindow(settings, clock, epoch)
+        # Failure domains in which nothing may start.
+        self.evacuated: frozenset[str] = frozenset()
 
     # Leadership
 
@@ -171,14 +173,6 @@
         self._confirmed_at = max(self._confirmed_at, proven_at)
         self._authority_until = self._confirmed_at + self._settings.lease
 
-    def confirm_view(self, proven_at: timedelta) -> None:
-        """Record that all records stored before ``proven_at`` have been applied.
-
-        Appends confirm the leadership, but tell nothing of the cancellations that
-        others have appended.
-        """
-        self._view_proven_at = max(self._view_proven_at, proven_at)
-
     @property
     def confirmation_due(self) -> bool:
         """Return whether anything waits for a confirmation of the leadership."""
@@ -689,8 +683,8 @@
         self._metrics.hosts.set({"state": "attached"}, attached)
         self._metrics.hosts.set({"state": "missing"}, len(self.hosts) - attached)
         self._metrics.open_jobs.set({}, len(self._open_jobs))
-        view_age = self._clock.boottime() - self._view_proven_at
-        self._metrics.view_age_seconds.set({}, view_age.total_seconds())
+        view_age = self.window.view_age.total_seconds()
+        self._metrics.view_age_seconds.set({}, view_age)
 
     def process_timeouts(self) -> None:
         """Apply the effects of elapsed time: due repetitions, timeouts and expiry."""
@@ -772,44 +766,21 @@
     def plan(self) -> None:
         """Place waiting tasks and queue their orders for ``take_orders``."""
         now = self._clock.boottime()
-        self._check_view(now)
-        if not self._is_view_recent or self._authority_until - now < MIN_AUTHORITY:
+        self._withdraw_evacuated_starts()
+        is_window_open = self.window.update(now, len(self._open_jobs))
+        if not is_window_open or self._authority_until - now < MIN_AUTHORITY:
             return
         startable = [job for job in self._open_jobs.values() if self._may_start(job)]
-        self._planner.plan(startable)
-
-    def _compute_start_time(self, now: timedelta) -> timedelta:
-        """Return the time left to send starts; a cancellation may be unread after it.
-
-        Whoever cancels a job may have been answered as soon as the view was proven.
-        """
-        return self._view_proven_at + self._settings.start_limit - now
-
-    def _compute_start_seconds(self, host: HostState, now: timedelta) -> float:
-        """Return the time left to send starts, counted from the host's last report.
-
-        The report was sent before it arrived here, so the count begins early enough.
-        """
-        left = self._compute_start_time(now)
-        if left <= timedelta():
-            return 0.0
-        return (left + now - host.reported_at).total_seconds()
+        self._planner.plan(startable, self.evacuated)
 
-    def _check_view(self, now: timedelta) -> None:
-        """Note whether the view is recent enough to place tasks."""
-        is_recent = self._compute_start_time(now) >= self._settings.min_start_time
-        if is_recent == self._is_view_recent:
-            return
-        self._is_view_recent = is_recent
-        view_age = now - self._view_proven_at
-        logger.warning(
-            "starts resumed" if is_recent else "starts paused: old view of the log",
-            extra={
-                "epoch": self.epoch,
-                "view_age": view_age.total_seconds(),
-                "open_jobs": len(self._open_jobs),
-            },
-        )
+    def _withdraw_evacuated_starts(self) -> None:
+        """Withdraw the starts in evacuated failure domains that have not begun."""
+        for host in list_evacuated(self.hosts, self.evacuated):
+            for key in host.tasks:
+                placement = self._runs[key]
+                if placement.phase in (RunPhase.ORDERED, RunPhase.STARTING):
+                    self._runs.stop(placement)
+                    self._metrics.withdrawn_starts.inc({})
 
     def _may_start(self, job: Job) -> bool:
         """Return whether neither a former leader nor a successor can start the job."""
@@ -861,9 +832,7 @@
                     demands=demands,
                     # Until the host attaches, its last report and its orders may be
                     # of a former session.
-                    start_seconds=(
-                        self._compute_start_seconds(host, now) if host.attached else 0.0
-                    ),
+                    start_seconds=self._compute_start_seconds(host, now),
                     last_order=host.outbox.last_number if host.attached else 0,
                     requirements=list_requirements(
                         self._runs, batch.orders, self._find_queue
@@ -871,6 +840,11 @@
                 ),
             )
 
+    def _compute_start_seconds(self, host: HostState, now: timedelta) -> float:
+        if not host.attached or is_evacuated(host, self.evacuated):
+            return 0.0
+        return self.window.compute_seconds(host.reported_at, now)
+
     def _pop_profiles(self, host: HostState) -> dict[str, TaskProfile]:
         if not host.profiles_due:
             return {}
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -11,6 +11,7 @@
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.crashes import CrashRecorder
 from egretcrank.scheduling.definitions import Step
+from egretcrank.scheduling.evacuation import is_evacuated
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves
 from egretcrank.scheduling.ordering import order_steps
@@ -64,10 +65,19 @@
             runs, hosts, find_queue, self._start, crashes, clock, metrics
         )
 
-    def plan(self, jobs: Sequence[Job]) -> None:
-        """Place waiting tasks of ``jobs``, none of which another leader can start."""
+    def plan(
+        self, jobs: Sequence[Job], evacuated: frozenset[str] = frozenset()
+    ) -> None:
+        """Place waiting tasks of ``jobs``, none of which another leader can start.
+
+        Nothing is placed in ``evacuated`` failure domains.
+        """
         now = self._clock.boottime()
-        usable = [host for host in self._hosts.values() if host.is_usable(now)]
+        usable = [
+            host
+            for host in self._hosts.values()
+            if host.is_usable(now) and not is_evacuated(host, evacuated)
+        ]
         if not usable:
             return
         if now - self._moved_at >= MOVE_INTERVAL:
--- a/src/egretcrank/scheduling/settings.py
+++ b/src/egretcrank/scheduling/settings.py
@@ -18,8 +18,8 @@
     ``evacuation_bound`` is the longest time between the acknowledgement of a request to
     evacuate a failure domain and the last start there, or None where no domain is ever
     evacuated. ``remote_factor`` is how many times as long a task takes away from its
-    rack. ``keep_ended`` is how long an ended job is kept, and a cancellation that has met no
-    job; ``due_tolerance`` is how early a repetition is added.
+    rack. ``keep_ended`` is how long an ended job is kept, and a cancellation that has
+    met no job; ``due_tolerance`` is how early a repetition is added.
     """
 
     lease: timedelta = timedelta(seconds=6)
@@ -27,7 +27,8 @@
     # the clock and acting on it.
     lease_margin: timedelta = timedelta(milliseconds=300)
     cancellation_bound: timedelta = timedelta(seconds=3)
-    # Part of a bound on starts in which an agent's call reaches the runner and is carried out.
+    # Part of a bound on starts in which an agent's call reaches the runner and is
+    # carried out.
     cancellation_margin: timedelta = timedelta(milliseconds=500)
     evacuation_bound: timedelta | None = None
     remote_factor: float = 1.0
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -112,6 +112,7 @@
     """Simulated runner of the platform with a slow clock."""
 
     def __init__(self, world: "World", name: str, capacity: int) -> None:
+        self.failure_domain = "zone"
         self.world, self.name, self.capacity = world, name, capacity
         self.born = 0
         self.kind, self.service = "a", "s"
@@ -198,7 +199,7 @@
             self.name,
             self.born,
             self.service,
-            "zone",
+            self.failure_domain,
             "rack",
             (self.kind, "rack"),
             self.capacity,
@@ -444,7 +445,7 @@
         cell.catalog = CATALOG
         cell.open(fence_offset, world.now())
         cell.confirm(len(world.log.records), world.now())
-        cell.confirm_view(world.now())
+        cell.window.confirm_jobs(world.now())
         self.cell = cell
 
     def catch_up(self) -> None:
@@ -456,7 +457,7 @@
                 self.cell.apply_job(key.name)
         self.position = len(self.world.log.records)
         if self.cell is not None:
-            self.cell.confirm_view(self.world.now())
+            self.cell.window.confirm_jobs(self.world.now())
 
     def commit(self) -> None:
         assert self.cell is not None
--- a/tests/test_controller_view.py
+++ b/tests/test_controller_view.py
@@ -125,7 +125,7 @@
         seen: list[timedelta] = []
 
         def plan() -> None:
-            seen.append(cell._view_proven_at)
+            seen.append(cell.window._jobs_proven_at)
             self.controller._stopping.set()
 
         with patch.object(cell, "plan", plan):
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -19,7 +19,7 @@
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.clock import SystemClock
-from egretcrank.controller import daemon
+from egretcrank.controller import operator_records
 from egretcrank.controller.candidates import choose_leader
 from egretcrank.controller.committer import MAX_BATCH_BYTES, Committer, Submission
 from egretcrank.controller.daemon import Controller
@@ -196,6 +196,13 @@
     controller._metrics = Metrics()
     controller._table = JobTable()
     controller._service = Mock(catalog=EMPTY_CATALOG)
+    controller._operator_records = operator_records.OperatorRecords(
+        Store("127.0.0.1:1"),
+        SystemClock(),
+        controller._metrics,
+        controller._apply_catalog,
+        controller._apply_evacuations,
+    )
     return controller
 
 
@@ -449,7 +456,7 @@
         valid = {"version": 2, "routes": [ROUTE]}
         values = [*map(msgspec.json.encode, (odd, long)), NESTED]
         values += [insert_nested(long, "odd"), msgspec.json.encode(valid)]
-        controller._apply_operator_records(
+        controller._operator_records.apply(
             tuple(
                 StoredValue(offset, CONFIGURATION_KEY, value)
                 for offset, value in enumerate(values)
@@ -462,8 +469,8 @@
         controller = build_controller()
         valid = parse_manifest(msgspec.json.encode({"version": 2, "routes": []}))
         results = Mock(side_effect=[RuntimeError("defect"), valid])
-        with patch.object(daemon, "parse_manifest", results):
-            controller._apply_operator_records(
+        with patch.object(operator_records, "parse_manifest", results):
+            controller._operator_records.apply(
                 tuple(StoredValue(n, CONFIGURATION_KEY, b"v") for n in range(2))
             )
         self.assertEqual(controller._service.catalog.version, 2)
--- a/tests/test_runner_connections.py
+++ b/tests/test_runner_connections.py
@@ -167,6 +167,8 @@
         self.runner.poll(None, 1, 0, timedelta()).unwrap()
         connection = calls._thread.connection
         former_socket = calls._thread.socket
+        assert connection is not None
+        assert former_socket is not None
         connection.close()
         successor = self.replace_process()
         self.runner.stop(TASK, 1, 1)
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -195,7 +195,7 @@
             if message.startswith("starts "):
                 lines.append(message)
 
-        with patch("egretcrank.scheduling.cell.logger.warning", record):
+        with patch("egretcrank.scheduling.views.logger.warning", record):
             yield lines
 
     def test_a_pause_is_logged_once_and_shown_by_the_metric(self):
@@ -414,7 +414,7 @@
         limit = world.now() - TICK + SETTINGS.start_limit - SETTINGS.min_start_time
         with patch.object(find_cell(world)._planner, "plan") as plan:
             times = []
-            plan.side_effect = lambda _: times.append(world.now())
+            plan.side_effect = lambda *_: times.append(world.now())
             world.run(4)
         self.assertEqual(times[-1], limit)
 
