Quarantine hosts that fail the tasks they start, and rank slow ones last

Cause: a host that fails its tasks at once is always the emptiest, so that it attracts the work, and uses up the attempts of jobs whose queue allows two.

A host on which the latest runs, of two jobs or more, have all failed is quarantined for 1 to 8 s and then tested with one task at a time, which has an attempt to lose. A third of a service's hosts is avoided at most. A failed task is not repeated for 1.5 s where its job has failed. Hosts with a single failed job and slow hosts are ranked last. A replaced runner process starts without a record.

--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -100,6 +100,17 @@
             " up).",
             registry=self._registry,
         )
+        self.hosts_avoided = Gauge(
+            "egretcrank_hosts_avoided",
+            "Hosts that get no new tasks, or one at a time, as they fail their tasks.",
+            registry=self._registry,
+        )
+        self.host_verdicts = Counter(
+            "egretcrank_host_verdicts_total",
+            "Verdicts on hosts by reason (failures, relapse, recovered, untested, slow"
+            " or slow_over).",
+            registry=self._registry,
+        )
         self.first_start_seconds = Histogram(
             "egretcrank_first_start_seconds",
             "Time from handing a job in to the start of its first task.",
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -448,6 +448,7 @@
             host.unwanted_runs.clear()
             assert host.runner is not None
             self._crashes.record_restart(host, host.runner.born)
+            self._planner.health.record_restart(host.name)
             if not host.attached:
                 self._suspect_unconfirmed(host)
             # Leases that a former leader allowed may be longer on the new clock, so no
@@ -644,6 +645,7 @@
         self._record_end(job, step, key.position, ended)
         if is_current and placement is not None:
             self._runs.release(placement, ended.outcome)
+            self._planner.health.record_end(placement, ended.outcome)
         elif placement is not None and task.done:
             self._runs.stop(placement)
         self._mark_started(job)
--- a/src/egretcrank/scheduling/placement.py
+++ b/src/egretcrank/scheduling/placement.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Mapping, Sequence
 from heapq import heapify, heappop, heappush
+from math import inf
 from typing import NamedTuple
 
 from egretcrank.policy.pressures import PressureTable
@@ -106,11 +107,14 @@
         service: str,
         hosts: Sequence[HostState],
         pressures: PressureTable,
+        penalties: Mapping[str, float] | None = None,
     ) -> None:
         self._step = step
         self._service = service
         self._hosts = hosts
         self._pressures = pressures
+        # By host; those that fail or slow down their tasks are ranked last.
+        self._penalties = penalties or {}
         self._use_empty = False
         # Heap ordered by rank, best first, then by the order of the hosts.
         self._entries: list[_Entry] = []
@@ -137,7 +141,12 @@
             gain = _get_gain(self._step.definition, host, self._pressures)
         rank = _rank(self._step, host, gain, self._use_empty)
         order = tuple(-value for value in rank)
-        return _Entry(order, position, Candidate(rank, host, gain))
+        candidate = Candidate(rank, host, gain)
+        if self._penalties:
+            # Otherwise a host that is not worthwhile would hide those with a penalty.
+            penalty = self._penalties.get(host.name, 0.0)
+            order = (penalty if candidate.worthwhile else inf, *order)
+        return _Entry(order, position, candidate)
 
     @property
     def best(self) -> Candidate | None:
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -11,6 +11,7 @@
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.crashes import CrashRecorder
 from egretcrank.scheduling.definitions import Step
+from egretcrank.scheduling.host_health import HEALTHY, HostHealth
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves
 from egretcrank.scheduling.ordering import order_steps
@@ -58,6 +59,8 @@
         self._find_queue = find_queue
         self._slowdowns = slowdowns
         self._clock = clock
+        self.health = HostHealth(runs, hosts, clock, metrics)
+        self._health_view = HEALTHY
         self._moved_at = timedelta()
         self._best_effort_planned_at = timedelta()
         self._trials = Trials(
@@ -70,6 +73,11 @@
         usable = [host for host in self._hosts.values() if host.is_usable(now)]
         if not usable:
             return
+        view = self._health_view = self.health.review(usable, now)
+        all_usable = usable
+        avoided = [host for host in usable if host.name in view.avoided]
+        if avoided:
+            usable = [host for host in usable if host.name not in view.avoided]
         if now - self._moved_at >= MOVE_INTERVAL:
             self._moved_at = now
             self._move(usable, now)
@@ -80,20 +88,73 @@
             jobs, self._find_queue, self._slowdowns, self._clock.now()
         )
         usable = self._trials.plan(ordered, usable)
+        if avoided:
+            avoided = [host for host in avoided if not self._trials.is_kept(host)]
+            if include_best_effort:
+                testable = [host for host in avoided if host.name in view.testable]
+                self._test_hosts(ordered, testable)
+            if find_busy_share(all_usable) >= MAX_BUSY_SHARE:
+                avoided = []
         max_free = find_max_free(usable)
         for step in ordered:
             if step.definition.best_effort and not include_best_effort:
                 continue
             if max_free.may_fit(step.definition) and not self._place(step, usable):
                 max_free = find_max_free(usable)
+            # A job that only avoided hosts can run would wait for all of a quarantine.
+            if avoided and step.waiting and self._is_starved(step.job, all_usable):
+                self._place(step, avoided)
+
+    def _test_hosts(
+        self, ordered: Sequence[StepState], hosts: Sequence[HostState]
+    ) -> None:
+        """Start one task on each host, of the steps that are placed last."""
+        for host in hosts:
+            for step in reversed(ordered):
+                index = self._find_test_task(step, host)
+                if index is not None:
+                    self._start(step, index, host)
+                    self.health.begin_trial(self._runs[step.get_task_key(index)])
+                    break
+
+    def _find_test_task(self, step: StepState, host: HostState) -> int | None:
+        """Return a task for which a failure on the host would not be the last one."""
+        queue = self._find_queue(step.job)
+        if step.definition.long_running or queue.max_attempts < 2:
+            return None
+        best = Ranking(step, queue.service, [host], self._pressures).best
+        if best is None or not best.worthwhile:
+            return None
+        spare = (
+            index
+            for index in list_unsuspected(step)
+            if step.tasks[index].failures + 1 < queue.max_attempts
+        )
+        return next(spare, None)
 
     def _place(self, step: StepState, usable: Sequence[HostState]) -> bool:
         """Start the waiting tasks of a step; return whether all found a host."""
         indices = list_unsuspected(step)
+        if not indices:
+            return True
+        excluded = self.health.list_excluded(step.job.job_id, self._clock.boottime())
+        if not excluded or step.definition.long_running:
+            return self._place_tasks(step, indices, usable)
+        # A host that has failed tasks of this job must not use up their attempts.
+        failed = [index for index in indices if step.tasks[index].failures]
+        others = [index for index in indices if not step.tasks[index].failures]
+        left = [host for host in usable if host.name not in excluded]
+        all_retried = self._place_tasks(step, failed, left)
+        return self._place_tasks(step, others, usable) and all_retried
+
+    def _place_tasks(
+        self, step: StepState, indices: Sequence[int], usable: Sequence[HostState]
+    ) -> bool:
         if not indices:
             return True
         service = self._find_queue(step.job).service
-        ranking = Ranking(step, service, usable, self._pressures)
+        penalties = self._health_view.penalties
+        ranking = Ranking(step, service, usable, self._pressures, penalties)
         for index in indices:
             candidate = ranking.best
             if candidate is None or not (
--- a/src/egretcrank/scheduling/trials.py
+++ b/src/egretcrank/scheduling/trials.py
@@ -112,6 +112,10 @@
                 self._try(group)
         return free
 
+    def is_kept(self, host: HostState) -> bool:
+        """Return whether a host is kept free of other tasks for an ongoing trial."""
+        return host.name in self._trials
+
     def _assign(
         self, steps: Iterable[StepState], hosts: Sequence[HostState], limit: int
     ) -> list[Group]:
