--- a/src/egretcrank/scheduling/host_health.py
+++ b/src/egretcrank/scheduling/host_health.py
@@ -7,7 +7,7 @@
 """
 
 import logging
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -121,7 +121,7 @@
         self._hosts = hosts
         self._clock = clock
         self._metrics = metrics
-        self._records: dict[str, _HostRecord] = {}
+        self._records: defaultdict[str, _HostRecord] = defaultdict(_HostRecord)
         self._jobs: dict[str, _JobRecord] = {}
         self._quarantines: dict[str, _Quarantine] = {}
         # Hosts with failures in the window.
@@ -151,7 +151,7 @@
 
     def _record_done(self, placement: Placement) -> None:
         host = placement.host
-        record = self._records.setdefault(host, _HostRecord())
+        record = self._records[host]
         record.done.append(placement.placed_at)
         for failure in record.failures:
             if (
@@ -177,7 +177,7 @@
             elif quarantine.trial is placement:
                 quarantine.trial = None
             return
-        record = self._records.setdefault(host, _HostRecord())
+        record = self._records[host]
         record.failures.append(_Failure(job_id, placement.placed_at, now))
         self._failing.add(host)
         self._judge(host, record, now)
@@ -247,7 +247,7 @@
         self, host: str, failed_jobs: int, reason: str, jobs: Iterable[str]
     ) -> None:
         now = self._clock.boottime()
-        record = self._records.setdefault(host, _HostRecord())
+        record = self._records[host]
         if now - record.judged_at > RELAPSE_WINDOW:
             record.level = 0
         duration = min(FIRST_QUARANTINE * 2**record.level, MAX_QUARANTINE)
@@ -271,7 +271,7 @@
     def _end_quarantine(self, host: str, reason: str) -> None:
         quarantine = self._quarantines.pop(host)
         now = self._clock.boottime()
-        self._records.setdefault(host, _HostRecord()).judged_at = now
+        self._records[host].judged_at = now
         self._metrics.host_verdicts.inc({"reason": reason})
         logger.info(
             "host quarantine ended",
@@ -315,7 +315,7 @@
     def review(self, hosts: Sequence[HostState], now: timedelta) -> HealthView:
         """Return the health of the usable hosts, once for each round of decisions."""
         self._prune(now)
-        slow = self._speeds.list_slow(now)
+        slow = self._speeds.list_slow(hosts, now)
         if not self._quarantines and not self._failing and not slow:
             self._set_gauge(0)
             return HEALTHY
@@ -380,6 +380,7 @@
         if now - self._pruned_at < PRUNE_INTERVAL:
             return
         self._pruned_at = now
+        self._speeds.prune()
         for job_id, job in list(self._jobs.items()):
             if now - job.failed_at > JOB_RETENTION:
                 del self._jobs[job_id]
--- a/src/egretcrank/scheduling/host_speed.py
+++ b/src/egretcrank/scheduling/host_speed.py
@@ -6,12 +6,15 @@
 
 import logging
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
+from math import ceil
 from statistics import median
 from typing import NamedTuple
 
 from egretcrank.observability.metrics import Metrics
+from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.runs import Runs
 from egretcrank.scheduling.tasks import Placement, RunPhase, StepState
 
@@ -27,8 +30,8 @@
 # Shorter tasks are not compared: the way of orders and reports takes as long.
 MIN_MEDIAN = timedelta(milliseconds=250)
 MAX_KEPT_RATIOS = 16
-# Interval between evaluations, which scan all runs.
-INTERVAL = timedelta(milliseconds=250)
+# Time in which each host is evaluated once.
+INTERVAL = timedelta(milliseconds=500)
 
 logger = logging.getLogger(__name__)
 
@@ -70,13 +73,17 @@
         self._ratios: dict[str, deque[_Ratio]] = {}
         self._slow: frozenset[str] = frozenset()
         self._evaluated_at = timedelta()
+        # Number of the host that is evaluated next.
+        self._position = 0
 
     def record_done(self, placement: Placement, now: timedelta) -> None:
         """Record a run that has ended well."""
         if not _is_comparable(placement):
             return
         duration = now - placement.placed_at
-        siblings = self._siblings.setdefault(placement.step, _Siblings())
+        siblings = self._siblings.get(placement.step)
+        if siblings is None:
+            siblings = self._siblings[placement.step] = _Siblings()
         ratio = siblings.compare(placement.host, duration)
         siblings.add(placement.host, duration)
         if ratio is not None:
@@ -90,39 +97,43 @@
         self._ratios.pop(host, None)
         self._slow -= {host}
 
-    def list_slow(self, now: timedelta) -> frozenset[str]:
-        """Return the hosts that are much slower than others."""
-        if now - self._evaluated_at >= INTERVAL:
-            self._evaluated_at = now
-            self._evaluate(now)
+    def list_slow(self, hosts: Sequence[HostState], now: timedelta) -> frozenset[str]:
+        """Return the hosts that are much slower than others.
+
+        Each call evaluates the share of the hosts that is due. With 300 hosts and 9,000
+        runs, an evaluation of all in one round took 9 ms of the 10 ms between rounds.
+        """
+        elapsed = min(now - self._evaluated_at, INTERVAL)
+        self._evaluated_at = now
+        begin = self._position
+        count = ceil(len(hosts) * (elapsed / INTERVAL))
+        for number in range(begin, begin + count):
+            self._evaluate(hosts[number % len(hosts)], now)
+        self._position = (begin + count) % max(1, len(hosts))
         return self._slow
 
-    def _evaluate(self, now: timedelta) -> None:
+    def prune(self) -> None:
+        """Forget the steps that have ended."""
         for step in list(self._siblings):
             if step.complete or step.job.phase.final:
                 del self._siblings[step]
-        overdue = self._list_overdue(now)
-        slow = set()
-        for host in self._ratios.keys() | overdue.keys():
-            kept = self._ratios.get(host, deque())
-            while kept and now - kept[0].at > WINDOW:
-                kept.popleft()
-            ratios = [entry.ratio for entry in kept] + overdue.get(host, [])
-            if len(ratios) < MIN_RUNS or max(ratios) < SLOW_RATIO:
-                continue
-            usual = median(ratios)
-            if usual >= SLOW_RATIO:
-                slow.add(host)
-                if host not in self._slow:
-                    self._report(host, "slow", usual, len(ratios))
-        for host in self._slow - slow:
-            self._report(host, "slow_over", None, 0)
-        self._slow = frozenset(slow)
-
-    def _list_overdue(self, now: timedelta) -> dict[str, list[float]]:
-        """Return the ratios of the runs that have lasted too long already, by host."""
-        overdue: dict[str, list[float]] = {}
-        for placement in self._runs:
+
+    def _evaluate(self, host: HostState, now: timedelta) -> None:
+        name = host.name
+        kept = self._ratios.get(name, ())
+        ratios = [entry.ratio for entry in kept if now - entry.at <= WINDOW]
+        ratios += self._list_overdue(host, now)
+        usual = median(ratios) if len(ratios) >= MIN_RUNS else 0.0
+        if (usual >= SLOW_RATIO) == (name in self._slow):
+            return
+        self._slow ^= {name}
+        self._report(name, "slow" if name in self._slow else "slow_over", ratios)
+
+    def _list_overdue(self, host: HostState, now: timedelta) -> list[float]:
+        """Return the ratios of the runs that have lasted too long already."""
+        overdue = []
+        for key in host.tasks:
+            placement = self._runs[key]
             siblings = self._siblings.get(placement.step)
             if siblings is None or placement.phase is not RunPhase.RUNNING:
                 continue
@@ -131,16 +142,21 @@
                 placement
             ):
                 continue
-            ratio = siblings.compare(placement.host, elapsed)
+            ratio = siblings.compare(host.name, elapsed)
             if ratio is not None and ratio >= SLOW_RATIO:
-                overdue.setdefault(placement.host, []).append(ratio)
+                overdue.append(ratio)
         return overdue
 
-    def _report(self, host: str, reason: str, ratio: float | None, runs: int) -> None:
+    def _report(self, host: str, reason: str, ratios: Sequence[float]) -> None:
         self._metrics.host_verdicts.inc({"reason": reason})
         logger.info(
             "speed of host judged",
-            extra={"host": host, "reason": reason, "ratio": ratio, "runs": runs},
+            extra={
+                "host": host,
+                "reason": reason,
+                "ratio": median(ratios) if ratios else None,
+                "runs": len(ratios),
+            },
         )
 
 
