Test that failed tasks go elsewhere and that no job waits for a quarantine

Cause: two rules of the health of hosts had no test.

Change: a test for each. A mutation without the rule fails the test: without the delay of a retry the task fails twice on the faulty host, without the rule for starved jobs the job waits for all of the quarantine.

--- a/tests/test_host_health.py
+++ b/tests/test_host_health.py
@@ -44,6 +44,8 @@
             refusal = start(order, deadline, token)
             if not refusal:
                 seconds = self.slowness.get(runner.name, 1.0)
+                if self.find_step(order.task).long_running:
+                    seconds = 1000.0
                 ends_at = self.now() + timedelta(seconds=seconds)
                 runner.running[order.task] = ActiveRun(order.run, ends_at, "")
                 job_faulty = order.task.split(".")[0] in self.faulty_jobs
@@ -99,6 +101,35 @@
         self.assertLess(after[0], before[0] / 4, (before, after))
         self.assertLessEqual(after[1], 1, (before, after))
 
+    def test_a_failed_task_is_not_repeated_at_once_on_the_same_host(self):
+        """Guards against the loss of both attempts before another job is evidence."""
+        world = HealthWorld()
+        world.runners[0].kind = "b"
+        world.run(0.5)
+        world.faulty_hosts = {"h0"}
+        step = build_step(width=5, cpu=4000, label="a", long_running=True)
+        others = world.submit(step)
+        world.run(1)
+        job = world.submit(build_step(width=1))
+        world.run(0.6)
+        world.cancel(others)
+        world.run(3)
+        self.assertEqual(world.failures, 1)
+        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+
+    def test_a_job_that_only_an_avoided_host_can_run_starts(self):
+        """Guards against a job that waits beside free hosts for all of a quarantine."""
+        world = HealthWorld()
+        world.runners[0].kind = "b"
+        world.run(0.5)
+        for _ in range(4):
+            world.health._quarantine("h0", 2, "failures", ())
+        job = world.submit(build_step(label="b"))
+        world.run(0.5)
+        self.assertEqual(world.find_phase(job), Phase.QUEUED)
+        world.run(1.5)
+        self.assertEqual(world.find_phase(job), Phase.RUNNING)
+
     def test_jobs_that_fail_on_every_host_are_no_evidence_against_hosts(self):
         """Guards against the loss of hosts to jobs that fail by themselves."""
         world = HealthWorld()
