--- a/src/egretcrank/scheduling/host_health.py
+++ b/src/egretcrank/scheduling/host_health.py
@@ -325,8 +325,7 @@
         testable = frozenset(
             host
             for host in avoided
-            if now >= self._quarantines[host].until
-            and self._quarantines[host].trial is None
+            if self.is_on_trial(host) and self._quarantines[host].trial is None
         )
         penalties = Counter[str](slow)
         penalties.update(self._quarantines.keys() - avoided)
