Check a configuration before it is sent

Cause: an operator learns of an error in a configuration only from the log lines of the controllers, one error at a time, and not at all of entries that never match.

Change: egretcrank check lists all errors, entries without effect and odd limits, and compares with the version in force.

--- a/bench/try_pages.py
+++ b/bench/try_pages.py
@@ -15,9 +15,11 @@
 
 from bench.addresses import find_address
 from bench.cluster import Cluster, Layout
+from bench.standins.platform_store import PlatformStore
 
 ROOT = Path(__file__).parent.parent
-PAGES = ("install.md", "lists.md", "logs-and-metrics.md", "runbooks.md")
+PAGES = ("check.md", "install.md", "lists.md", "logs-and-metrics.md", "runbooks.md")
+CONFIGURATION = ROOT / "examples" / "configuration.json"
 BLOCK = re.compile(r"^```(sh|ini)\n(.*?)^```$", re.M | re.S)
 ADDRESS = re.compile(r"10\.0\.\d+\.\d+:\d+")
 EXIT_MARK = re.compile(r"  # exits with (\d+)$")
@@ -30,10 +32,11 @@
 class PageRunner:
     """Runs commands in a directory with the examples and settings from the pages."""
 
-    def __init__(self, cluster: Cluster, directory: Path) -> None:
+    def __init__(self, cluster: Cluster, platform_log: str, directory: Path) -> None:
         self._directory = directory
         self._addresses = {
             "10.0.0.9:7000": cluster.log_address,
+            "10.0.0.9:7200": platform_log,
             "10.0.0.1:8080": cluster.http_addresses[0],
             "10.0.0.1:7101": cluster.entries[0][1],
         }
@@ -87,13 +90,18 @@
         directory = Path(name)
         (directory / "pages").mkdir()
         cluster = Cluster(Layout(entries=1, hosts=3, services=SERVICES), directory)
+        platform_log = find_address()
+        store = PlatformStore(platform_log, 1)
+        store.put("keyed.op", "config", CONFIGURATION.read_bytes())
+        store.start()
         try:
             cluster.start()
-            runner = PageRunner(cluster, directory / "pages")
+            runner = PageRunner(cluster, platform_log, directory / "pages")
             pages = [ROOT / "docs" / "operations" / page for page in PAGES]
             failed = [problem for page in pages for problem in runner.run_page(page)]
         finally:
             cluster.stop()
+            store.stop()
     print("\n".join(failed) or "all commands of the pages did as they say")
     sys.exit(1 if failed else 0)
 
--- a/src/egretcrank/cli/main.py
+++ b/src/egretcrank/cli/main.py
@@ -9,6 +9,7 @@
 # Module that defines each command.
 COMMANDS = {
     "agent": "egretcrank.cli.agent",
+    "check": "egretcrank.cli.check",
     "controller": "egretcrank.cli.controller",
     "drain": "egretcrank.cli.operations",
     "entry": "egretcrank.cli.entry",
