--- a/src/egretcrank/cli/check.py
+++ b/src/egretcrank/cli/check.py
@@ -102,9 +102,8 @@
     try:
         with path.open("rb") as file:
             value = file.read(MAX_FILE_BYTES + 1)
-    except (OSError, ValueError) as error:
-        reason = getattr(error, "strerror", None) or str(error)
-        return Failure(f"cannot be read: {reason}; expected a file")
+    except OSError as error:
+        return Failure(f"cannot be read: {error.strerror}; expected a file")
     if len(value) > MAX_FILE_BYTES:
         return Failure(f"is too large; expected at most {MAX_FILE_BYTES} bytes")
     return Success(value)
@@ -198,7 +197,9 @@
         text = f"{kind.value}: {source}: {where}: {detail}"
         _write_line(text + (f"; expected {expected}" if expected else ""), err=True)
     if len(findings) >= MAX_LISTED_FINDINGS:
-        _write_line(f"{source}: further findings are not listed", err=True)
+        _write_line(
+            f"{source}: only {MAX_LISTED_FINDINGS} findings are listed", err=True
+        )
 
 
 def _write_difference(difference: Difference) -> None:
@@ -209,7 +210,7 @@
     for change in difference.changes:
         _write_change(change)
     if len(difference.changes) >= MAX_LISTED_ENTRIES:
-        _write_line("further entries are not listed")
+        _write_line(f"only {MAX_LISTED_ENTRIES} entries are listed")
     if not difference.changes:
         _write_line("no difference between the entries")
 
--- a/src/egretcrank/platform/manifest.py
+++ b/src/egretcrank/platform/manifest.py
@@ -96,11 +96,12 @@
     match decode_body(value, _Manifest):
         case Success(manifest):
             return Success(_build_entries(manifest))
-        case Failure(problem):
+        case Failure(_):
             try:
                 msgspec.json.decode(value)
-            except DECODE_ERRORS:
-                return Failure((problem._replace(where="", expected="JSON"),))
+            except DECODE_ERRORS as error:
+                kind = ErrorKind.INVALID_MESSAGE
+                return Failure((Problem(kind, str(error), "", "a JSON document"),))
             errors = _find_errors(msgspec.Raw(value), _Manifest, "")
             return Failure(tuple(islice(errors, MAX_LISTED_ERRORS)))
     raise AssertionError("unreachable")
