List the errors of a configuration beside an integer of thousands of digits

Cause: the untyped decoder that tells JSON from other input refuses such integers, so that the file counted as unreadable (exit code 2) and its other errors were not listed.

Change: the untyped decoder's validation errors do not end the reading.

Measured: the new test and the others of tests.test_configuration_check pass (10 tests, 4.3 s).

--- a/src/egretcrank/platform/manifest.py
+++ b/src/egretcrank/platform/manifest.py
@@ -99,6 +99,9 @@
         case Failure(_):
             try:
                 msgspec.json.decode(value)
+            except msgspec.ValidationError:
+                # JSON with an integer of thousands of digits.
+                pass
             except DECODE_ERRORS as error:
                 kind = ErrorKind.INVALID_MESSAGE
                 return Failure((Problem(kind, str(error), "", "a JSON document"),))
--- a/tests/test_configuration_check.py
+++ b/tests/test_configuration_check.py
@@ -128,6 +128,13 @@
         expected += ["limits.body_bytes"]
         self.assertEqual((code, [line[2] for line in lines]), (1, expected))
 
+    def test_a_long_integer_does_not_hide_other_errors(self):
+        """Guards against JSON that is taken for unreadable."""
+        body = b'{"version":%s,"routes":[0]}' % (b"1" * 5000)
+        code, answer = self.check(body)
+        found = [finding["where"] for finding in answer["findings"]]
+        self.assertEqual((code, found), (1, ["version", "routes[0]"]))
+
     def test_long_lists_of_errors_are_cut(self):
         """Guards against millions of lines for a file that is no configuration."""
         file = self.write("a.json", {"version": 1, "routes": [0] * 2000})
