Let tasks wait a bounded time for room in their rack

Cause: a task that names a rack takes remote_factor times as long elsewhere, but was started on any other host as soon as the rack was full. same_rack was not evaluated.

Other steps use the racks that are waited for last during a wait. The planner gets the cell's settings; the controller role gets the factor from the platform.

--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -376,6 +376,7 @@
         cell_settings = CellSettings(
             lease=bounds.lease,
             cancellation_bound=bounds.cancellation,
+            remote_factor=bounds.remote_factor,
             keep_ended=bounds.keep_ended_seconds,
         )
         with self._lock:
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -106,6 +106,24 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self.place_waits = Counter(
+            "egretcrank_place_waits_total",
+            "Waits of steps for room in a rack by event (begun, or why the wait"
+            " ended: room, expired, rack_lost or cancelled).",
+            registry=self._registry,
+        )
+        self.place_wait_seconds = Histogram(
+            "egretcrank_place_wait_seconds",
+            "Time for which a step waited for room in a rack.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
+        self.place_saved_seconds = Histogram(
+            "egretcrank_place_saved_seconds",
+            "Time that a wait for room in a rack is expected to save when it begins.",
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self._registry,
+        )
         self.decision_seconds = Histogram(
             "egretcrank_decision_seconds",
             "Time of one round of decisions of the leader.",
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -118,6 +118,7 @@
             clock,
             self._crashes,
             metrics,
+            settings,
         )
         # Jobs below this offset may have been started by a former leader.
         self._fence_offset = 0
@@ -660,7 +661,8 @@
         if ended.outcome == "done" and not step.definition.long_running:
             step.mark_done(index)
             if step.complete and step.started_at is not None:
-                span = self._clock.boottime() - step.started_at
+                step.ended_at = self._clock.boottime()
+                span = step.ended_at - step.started_at
                 self._slowdowns.record(job.queue.name, span, step.definition.estimate)
         if ended.outcome == "failed":
             task.failed_runs.add(ended.run)
--- a/src/egretcrank/scheduling/definitions.py
+++ b/src/egretcrank/scheduling/definitions.py
@@ -35,7 +35,8 @@
     ``label`` is a label that the host must have, and ``rack`` the rack near the data,
     which is preferred. ``spread_limit`` is the number of the step's tasks that one host
     may run, 0 for no limit. ``target`` is the tail latency objective of a long-running
-    task that serves requests. ``same_rack``, ``allow_duplicates`` and
+    task that serves requests. The tasks of a ``same_rack`` step are placed on one rack
+    if possible, where other racks are slower. ``allow_duplicates`` and
     ``allowed_misses`` are stored, but this release does not evaluate them.
     """
 
--- a/src/egretcrank/scheduling/moves.py
+++ b/src/egretcrank/scheduling/moves.py
@@ -8,7 +8,7 @@
 from egretcrank.scheduling.catalog import Queue
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.placement import choose_host
-from egretcrank.scheduling.tasks import Job, Placement, RunPhase
+from egretcrank.scheduling.tasks import Job, Placement, Progress, RunPhase
 from egretcrank.wire.hosting import RunningTask
 
 # A best-effort task that uses at most ``SLOW_SHARE`` of its processors is slow, and is
@@ -34,7 +34,10 @@
 
 
 def track_speed(placement: Placement, running: RunningTask, now: timedelta) -> None:
-    """Update the time since which a movable best-effort task has been slow."""
+    """Update a run's progress, and since when a movable best-effort task is slow."""
+    progress = Progress(running.progress, now)
+    first = placement.progress[0] if placement.progress else progress
+    placement.progress = (first, progress)
     step = placement.step.definition
     movable = step.checkpointing or running.progress < MAX_MOVABLE_PROGRESS_PERCENT
     if (
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -12,6 +12,13 @@
 from egretcrank.scheduling.crashes import CrashRecorder
 from egretcrank.scheduling.definitions import Step
 from egretcrank.scheduling.hosts import HostState
+from egretcrank.scheduling.locality import (
+    LocalityPolicy,
+    StartAnywhere,
+    StartInRack,
+    WaitUntil,
+    wants_rack,
+)
 from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves
 from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.placement import (
@@ -20,6 +27,7 @@
     find_max_free,
 )
 from egretcrank.scheduling.runs import Runs
+from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.tasks import Job, StepState
 from egretcrank.scheduling.trials import Trials, list_unsuspected
 from egretcrank.wire.hosting import StartOrder, TaskProfile
@@ -51,6 +59,7 @@
         clock: Clock,
         crashes: CrashRecorder,
         metrics: Metrics,
+        settings: CellSettings,
     ) -> None:
         self._runs = runs
         self._hosts = hosts
@@ -60,6 +69,11 @@
         self._clock = clock
         self._moved_at = timedelta()
         self._best_effort_planned_at = timedelta()
+        self._locality: LocalityPolicy | None = None
+        if settings.remote_factor > 1:
+            self._locality = LocalityPolicy(
+                settings, clock, slowdowns, metrics, find_queue, pressures
+            )
         self._trials = Trials(
             runs, hosts, find_queue, self._start, crashes, clock, metrics
         )
@@ -79,6 +93,8 @@
         ordered = order_steps(
             jobs, self._find_queue, self._slowdowns, self._clock.now()
         )
+        if self._locality is not None:
+            self._locality.review(usable, now)
         usable = self._trials.plan(ordered, usable)
         max_free = find_max_free(usable)
         for step in ordered:
@@ -92,18 +108,89 @@
         indices = list_unsuspected(step)
         if not indices:
             return True
+        if self._locality is None:
+            return not self._start_each(step, indices, usable, usable)
+        if wants_rack(step.definition):
+            return self._place_by_rack(step, indices, usable, self._locality)
+        awaited = self._locality.awaited_racks
+        # Serving tasks are packed by image, which matters for longer than a wait.
+        if awaited and not step.definition.target:
+            others = [host for host in usable if host.rack not in awaited]
+            indices = self._start_each(step, indices, others)
+        return not self._start_each(step, indices, usable, usable)
+
+    def _start_each(
+        self,
+        step: StepState,
+        indices: list[int],
+        hosts: Sequence[HostState],
+        usable: Sequence[HostState] = (),
+    ) -> list[int]:
+        """Start tasks on the best of the hosts; return those for which none is good.
+
+        A task of a starved job needs no good host, if the usable hosts are given.
+        """
+        if not indices:
+            return []
         service = self._find_queue(step.job).service
-        ranking = Ranking(step, service, usable, self._pressures)
-        for index in indices:
+        ranking = Ranking(step, service, hosts, self._pressures)
+        for position, index in enumerate(indices):
             candidate = ranking.best
             if candidate is None or not (
-                candidate.worthwhile or self._is_starved(step.job, usable)
+                candidate.worthwhile or (usable and self._is_starved(step.job, usable))
             ):
-                return False
+                return indices[position:]
             self._start(step, index, candidate.host)
             ranking.rerank_best()
+        return []
+
+    def _place_by_rack(
+        self,
+        step: StepState,
+        indices: list[int],
+        usable: Sequence[HostState],
+        locality: LocalityPolicy,
+    ) -> bool:
+        """Start the tasks of a step that wants a rack, except those that wait for it.
+
+        Returns whether all found a host.
+        """
+        now = self._clock.boottime()
+        while indices:
+            match locality.decide(step, usable, self._runs, now, len(indices)):
+                case StartInRack(rack):
+                    near = [host for host in usable if host.rack == rack]
+                    left = self._start_each(step, indices, near)
+                    if len(left) == len(indices):
+                        return not self._start_anywhere(step, indices, usable, locality)
+                    indices = left
+                case WaitUntil(rack=rack, tasks=tasks):
+                    others = [host for host in usable if host.rack != rack]
+                    self._start_anywhere(step, indices[tasks:], others, locality)
+                    return False
+                case StartAnywhere():
+                    return not self._start_anywhere(step, indices, usable, locality)
         return True
 
+    def _start_anywhere(
+        self,
+        step: StepState,
+        indices: list[int],
+        hosts: Sequence[HostState],
+        locality: LocalityPolicy,
+    ) -> list[int]:
+        """Start tasks outside of their rack, last in racks that others wait for.
+
+        Hosts in the step's rack that are not worthwhile would be ranked first.
+        """
+        avoided = locality.awaited_racks
+        remote = [host for host in hosts if host.rack != step.definition.rack]
+        if avoided:
+            free = [host for host in remote if host.rack not in avoided]
+            indices = self._start_each(step, indices, free)
+        indices = self._start_each(step, indices, remote)
+        return self._start_each(step, indices, hosts, hosts)
+
     def _is_starved(self, job: Job, usable: Sequence[HostState]) -> bool:
         """Return whether a job has long been idle although most capacity is free.
 
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime, timedelta
 from enum import StrEnum
+from typing import NamedTuple
 
 from egretcrank.policy.crashes import MIN_CRASHES, Crash
 from egretcrank.scheduling.catalog import Queue
@@ -41,6 +42,13 @@
     STOPPING = "stopping"
 
 
+class Progress(NamedTuple):
+    """Progress of a run in percent of its work, and when it was reported."""
+
+    percent: int
+    reported_at: timedelta
+
+
 class Placement:
     """A run of a task on a host, from its start order until its end is known."""
 
@@ -50,6 +58,7 @@
         "order_number",
         "phase",
         "placed_at",
+        "progress",
         "run",
         "slow_since",
         "starting_at",
@@ -80,6 +89,8 @@
         self.order_number = 0
         # Time since which a best-effort task has been slow.
         self.slow_since: timedelta | None = None
+        # The first and the last progress that was reported.
+        self.progress: tuple[Progress, Progress] | None = None
 
 
 class Task:
@@ -126,6 +137,8 @@
         self.done_count = 0
         # Time at which this leader placed the first task.
         self.started_at: timedelta | None = None
+        # Time at which it was completed, if this leader placed any of its tasks.
+        self.ended_at: timedelta | None = None
         # Number of runs by host, compared with the spread limit.
         self.spread: dict[str, int] = {}
         # Tasks that may have crashed a runner and have not proven harmless since.
--- a/tests/test_idle_jobs.py
+++ b/tests/test_idle_jobs.py
@@ -11,6 +11,7 @@
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.planner import MAX_BUSY_JOB_IDLE, MAX_JOB_IDLE, Planner
 from egretcrank.scheduling.runs import Runs
+from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.tasks import Job
 from tests.cases import AsyncTestCase, ManualClock
 from tests.cell_world import QUEUE, build_step
@@ -43,6 +44,7 @@
             clock,
             CrashRecorder({}, ChangeCollector(), clock, Metrics()),
             Metrics(),
+            CellSettings(),
         )
         job = Job(JobDefinition("0" * 16, QUEUE, "", (step,), clock.now()), 0)
         job.add_occurrence(0)
