Let steps wait for a rack as a whole, and leave contested racks to them

Change: a step waits only if all its tasks are expected to find room in time, and if that saves its duration at least, so that nothing waits with a factor up to 2. A wait ends 150 ms after the expected time. Racks that lately had too little room for a step are used last by tasks that don't name them.

--- a/src/egretcrank/scheduling/locality.py
+++ b/src/egretcrank/scheduling/locality.py
@@ -4,8 +4,8 @@
 of 8 or 9 hosts. A task takes ``remote_factor`` times as long elsewhere, so that waiting
 for a task that is about to end in the rack is often faster than starting at once; but
 if all waited, most of them would wait in vain. Each step therefore waits once at most,
-with as many tasks as the rack is expected to have room for in time, and until a fixed
-deadline.
+if the rack is expected to have room for all of its tasks in time after those that wait
+already, and until a fixed deadline.
 """
 
 import logging
@@ -27,14 +27,19 @@
 from egretcrank.scheduling.tasks import Job, StepState
 
 # No step waits longer than this after it became ready. An accepted job may be without a
-# run for 3 s while there is room for it, and the next leader needs a part of them.
+# run for 3 s while there is room for it, and a change of leaders needs a part of them.
 MAX_WAIT = timedelta(milliseconds=1500)
 # A task waits if its room is expected within this share of the time that it would lose
 # on another rack. The rest covers estimates that are off by a factor of up to 1.9.
 MAX_GAIN_SHARE = 0.5
-# A wait lasts for this many times the expected time, plus a margin for the reports of
-# ends on their way.
-WAIT_FACTOR = 1.5
+# A wait has to save this many times the task's duration, as it takes the room from
+# other tasks that want the rack. In a model of a hot rack with a factor of 2, the
+# median job ended 5% sooner with this value, with which nothing waits then, and 3% with
+# 0.6 (and a gain share of 0.7).
+MIN_SAVED_SHARE = 1.0
+# A wait lasts for the expected time and a margin for estimates and for reports of ends.
+# Margins of 80 to 300 ms differ little: in the same model the median job ended 9% to
+# 15% sooner with a factor of 3, and 12% to 16% with 2.5.
 WAIT_MARGIN = timedelta(milliseconds=150)
 # Tolerated difference between the clocks of the controller that accepted a job and of
 # the leader. With more, a further leader could let the step wait again.
@@ -130,9 +135,13 @@
         self._records: dict[StepKey, _Record] = {}
 
     @property
-    def awaited_racks(self) -> frozenset[str]:
-        """Return the racks that steps wait for."""
-        return frozenset(r.rack for r in self._records.values() if r.wait is not None)
+    def contested_racks(self) -> frozenset[str]:
+        """Return the racks that lately had too little room for a step.
+
+        Others leave their room to the steps that want them while there is room
+        elsewhere.
+        """
+        return frozenset(r.rack for r in self._records.values() if r.rack)
 
     def review(self, usable_hosts: Iterable[HostState], now: timedelta) -> None:
         """End the waits that are over, and forget steps that may not wait any more."""
@@ -176,7 +185,7 @@
         record = self._records.get(request.step.key)
         if record is not None:
             return record.wait or StartAnywhere(record.reason)
-        return self._consider(request, [rack], 1)
+        return self._consider(request, [rack])
 
     def _decide_for_any_rack(self, request: _Request) -> PlaceDecision:
         """Decide for a step whose tasks are to run on one rack, whichever it is."""
@@ -186,7 +195,7 @@
             rack = record.rack
             return StartInRack(rack) if self._has_room(request, rack) else record.wait
         used = {host.rack for host in request.hosts if step.spread.get(host.name)}
-        awaited = self.awaited_racks
+        contested = self.contested_racks
         rooms = {rack: self._count_room(request, rack) for rack in request.racks}
         candidates = sorted(
             (
@@ -197,7 +206,7 @@
             key=lambda rack: (
                 rack in used,
                 rooms[rack] >= request.count,
-                rack not in awaited,
+                rack not in contested,
                 rooms[rack],
             ),
         )
@@ -207,7 +216,7 @@
         # Nothing is left to gain if the tasks run on several racks already.
         if record is None and len(used) <= 1:
             wanted = sorted(used or request.racks)
-            decision = self._consider(request, wanted, request.count)
+            decision = self._consider(request, wanted)
             if isinstance(decision, WaitUntil):
                 return decision
         return StartInRack(best) if best else StartAnywhere("no rack has room")
@@ -223,10 +232,11 @@
         step, hosts = request.step, request.racks[rack]
         return sum(count_room(step, request.service, host) for host in hosts)
 
-    def _consider(
-        self, request: _Request, racks: Sequence[str], min_tasks: int
-    ) -> PlaceDecision:
-        """Decide once for a step whether it waits, for the rack with room first."""
+    def _consider(self, request: _Request, racks: Sequence[str]) -> PlaceDecision:
+        """Decide once for a step whether it waits, for the rack with room first.
+
+        A step ends with its slowest task, so that it waits with all of them or not.
+        """
         step, now = request.step, request.now
         if step.definition.long_running:
             return StartAnywhere("a long-running task has no duration to save")
@@ -237,31 +247,32 @@
             return StartAnywhere("the step became ready too long ago")
         if not self._is_room_elsewhere(request, racks):
             return StartAnywhere("there is no room elsewhere")
-        lost = step.definition.estimate * (self._settings.remote_factor - 1)
+        estimate = step.definition.estimate
+        lost = estimate * (self._settings.remote_factor - 1)
         bound = min(
             ready_at + MAX_WAIT - now, MAX_WAIT, lost, self._find_slack(step, lost)
         )
-        latest = now + min(bound, lost * MAX_GAIN_SHARE)
+        latest = now + min(
+            bound, lost * MAX_GAIN_SHARE, lost - estimate * MIN_SAVED_SHARE
+        )
         # Racks with the most tasks and the earliest room come first.
         options = sorted(
             (
                 (self._forecast(request, rack, latest), rack)
                 for rack in racks
-                if rack in request.racks
+                if rack in request.racks and latest > now
             ),
             key=lambda option: (-len(option[0]), option[0][-1:], option[1]),
         )
-        times, rack = options[0] if options else ([], racks[0] if racks else "")
+        times, rack = options[0] if options else ([], step.definition.rack)
         record = _Record(step, rack, ready_at + MAX_WAIT, "", now)
         self._records[step.key] = record
-        if len(times) < min_tasks:
-            record.reason = (
-                "no room is expected in time" if options else "no host is usable there"
-            )
+        if len(times) < request.count:
+            record.reason = "no room is expected in time"
             return StartAnywhere(record.reason)
         expected = times[-1] - now
         wait = WaitUntil(
-            now + min(bound, WAIT_FACTOR * expected + WAIT_MARGIN),
+            now + min(bound, expected + WAIT_MARGIN),
             f"room is expected within {expected.total_seconds():.2f} s",
             rack,
             len(times),
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -112,10 +112,10 @@
             return not self._start_each(step, indices, usable, usable)
         if wants_rack(step.definition):
             return self._place_by_rack(step, indices, usable, self._locality)
-        awaited = self._locality.awaited_racks
+        contested = self._locality.contested_racks
         # Serving tasks are packed by image, which matters for longer than a wait.
-        if awaited and not step.definition.target:
-            others = [host for host in usable if host.rack not in awaited]
+        if contested and not step.definition.target:
+            others = [host for host in usable if host.rack not in contested]
             indices = self._start_each(step, indices, others)
         return not self._start_each(step, indices, usable, usable)
 
@@ -179,14 +179,14 @@
         hosts: Sequence[HostState],
         locality: LocalityPolicy,
     ) -> list[int]:
-        """Start tasks outside of their rack, last in racks that others wait for.
+        """Start tasks outside of their rack, last in contested racks.
 
         Hosts in the step's rack that are not worthwhile would be ranked first.
         """
-        avoided = locality.awaited_racks
+        contested = locality.contested_racks
         remote = [host for host in hosts if host.rack != step.definition.rack]
-        if avoided:
-            free = [host for host in remote if host.rack not in avoided]
+        if contested:
+            free = [host for host in remote if host.rack not in contested]
             indices = self._start_each(step, indices, free)
         indices = self._start_each(step, indices, remote)
         return self._start_each(step, indices, hosts, hosts)
