--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -346,6 +346,7 @@
             lease=bounds.lease,
             cancellation_bound=bounds.cancellation,
             evacuation_bound=bounds.evacuation,
+            remote_factor=bounds.remote_factor,
             keep_ended=bounds.keep_ended_seconds,
         )
         with self._lock:
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -14,6 +14,13 @@
 from egretcrank.scheduling.evacuation import is_evacuated
 from egretcrank.scheduling.host_health import HEALTHY, HostHealth
 from egretcrank.scheduling.hosts import HostState
+from egretcrank.scheduling.locality import (
+    LocalityPolicy,
+    StartAnywhere,
+    StartInRack,
+    WaitUntil,
+    wants_rack,
+)
 from egretcrank.scheduling.moves import MOVE_INTERVAL, choose_moves
 from egretcrank.scheduling.ordering import order_steps
 from egretcrank.scheduling.placement import (
@@ -22,6 +29,7 @@
     find_max_free,
 )
 from egretcrank.scheduling.runs import Runs
+from egretcrank.scheduling.settings import CellSettings
 from egretcrank.scheduling.tasks import Job, StepState
 from egretcrank.scheduling.trials import Trials, list_unsuspected
 from egretcrank.wire.hosting import StartOrder, TaskProfile
@@ -53,6 +61,7 @@
         clock: Clock,
         crashes: CrashRecorder,
         metrics: Metrics,
+        settings: CellSettings,
     ) -> None:
         self._runs = runs
         self._hosts = hosts
@@ -64,6 +73,11 @@
         self._health_view = HEALTHY
         self._moved_at = timedelta()
         self._best_effort_planned_at = timedelta()
+        self._locality: LocalityPolicy | None = None
+        if settings.remote_factor > 1:
+            self._locality = LocalityPolicy(
+                settings, clock, slowdowns, metrics, find_queue, pressures
+            )
         self._trials = Trials(
             runs, hosts, find_queue, self._start, crashes, clock, metrics
         )
@@ -97,6 +111,8 @@
         ordered = order_steps(
             jobs, self._find_queue, self._slowdowns, self._clock.now()
         )
+        if self._locality is not None:
+            self._locality.review(usable, now)
         usable = self._trials.plan(ordered, usable)
         if avoided:
             avoided = [host for host in avoided if not self._trials.is_kept(host)]
@@ -158,23 +174,93 @@
         return self._place_tasks(step, others, usable) and all_retried
 
     def _place_tasks(
-        self, step: StepState, indices: Sequence[int], usable: Sequence[HostState]
+        self, step: StepState, indices: list[int], usable: Sequence[HostState]
     ) -> bool:
+        """Start tasks where their step's rack allows; return whether all were."""
+        if self._locality is None:
+            return not self._start_each(step, indices, usable, usable)
+        if wants_rack(step.definition):
+            return self._place_by_rack(step, indices, usable, self._locality)
+        contested = self._locality.contested_racks
+        # Serving tasks are packed by image, which matters for longer than a wait.
+        if contested and not step.definition.target:
+            others = [host for host in usable if host.rack not in contested]
+            indices = self._start_each(step, indices, others)
+        return not self._start_each(step, indices, usable, usable)
+
+    def _start_each(
+        self,
+        step: StepState,
+        indices: list[int],
+        hosts: Sequence[HostState],
+        usable: Sequence[HostState] = (),
+    ) -> list[int]:
+        """Start tasks on the best of the hosts; return those for which none is good.
+
+        A task of a starved job needs no good host, if the usable hosts are given.
+        """
         if not indices:
-            return True
+            return []
         service = self._find_queue(step.job).service
         penalties = self._health_view.penalties
-        ranking = Ranking(step, service, usable, self._pressures, penalties)
-        for index in indices:
+        ranking = Ranking(step, service, hosts, self._pressures, penalties)
+        for position, index in enumerate(indices):
             candidate = ranking.best
             if candidate is None or not (
-                candidate.worthwhile or self._is_starved(step.job, usable)
+                candidate.worthwhile or (usable and self._is_starved(step.job, usable))
             ):
-                return False
+                return indices[position:]
             self._start(step, index, candidate.host)
             ranking.rerank_best()
+        return []
+
+    def _place_by_rack(
+        self,
+        step: StepState,
+        indices: list[int],
+        usable: Sequence[HostState],
+        locality: LocalityPolicy,
+    ) -> bool:
+        """Start the tasks of a step that wants a rack, except those that wait for it.
+
+        Returns whether all found a host.
+        """
+        now = self._clock.boottime()
+        while indices:
+            match locality.decide(step, usable, self._runs, now, len(indices)):
+                case StartInRack(rack):
+                    near = [host for host in usable if host.rack == rack]
+                    left = self._start_each(step, indices, near)
+                    if len(left) == len(indices):
+                        return not self._start_anywhere(step, indices, usable, locality)
+                    indices = left
+                case WaitUntil(rack=rack, tasks=tasks):
+                    others = [host for host in usable if host.rack != rack]
+                    self._start_anywhere(step, indices[tasks:], others, locality)
+                    return False
+                case StartAnywhere():
+                    return not self._start_anywhere(step, indices, usable, locality)
         return True
 
+    def _start_anywhere(
+        self,
+        step: StepState,
+        indices: list[int],
+        hosts: Sequence[HostState],
+        locality: LocalityPolicy,
+    ) -> list[int]:
+        """Start tasks outside of their rack, last in contested racks.
+
+        Hosts in the step's rack that are not worthwhile would be ranked first.
+        """
+        contested = locality.contested_racks
+        remote = [host for host in hosts if host.rack != step.definition.rack]
+        if contested:
+            free = [host for host in remote if host.rack not in contested]
+            indices = self._start_each(step, indices, free)
+        indices = self._start_each(step, indices, remote)
+        return self._start_each(step, indices, hosts, hosts)
+
     def _is_starved(self, job: Job, usable: Sequence[HostState]) -> bool:
         """Return whether a job has long been idle although most capacity is free.
 
