Refuse jobs that an overloaded service cannot begin in time

Cause: controllers accept jobs under overload that end after they have lost all value. Change: Backlogs measures backlog and throughput from the applied records, and JobService.submit answers 429 (queue_overloaded) with Retry-After.

--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -40,6 +40,7 @@
 )
 from egretcrank.platform.readiness import ReadinessServer
 from egretcrank.platform.store import Appended, Store, encode_keyed
+from egretcrank.scheduling.backlog import Backlogs
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.records import (
@@ -117,8 +118,15 @@
         self._submissions = Submissions(
             settings.host.name, settings.host.peer_address, clock
         )
+        self._backlogs = Backlogs(clock, self._metrics)
         self._service = JobService(
-            self._store, clock, self._table, self._jobs_tail, self._submissions
+            self._store,
+            clock,
+            self._table,
+            self._jobs_tail,
+            self._submissions,
+            self._backlogs,
+            self._metrics,
         )
         self._ingress = Ingress(self._service, clock, self._metrics)
         self._link = PeerLink(
@@ -145,6 +153,7 @@
             self._metrics.leader_epoch.set({}, cell.epoch if cell else 0)
             if cell is not None:
                 cell.update_gauges()
+        self._backlogs.update_gauges()
         return self._metrics.render(accept)
 
     def run(self) -> None:
@@ -230,6 +239,7 @@
         key = self._table.apply(stored)
         if key is None:
             return
+        self._backlogs.observe(self._table, key)
         if key.kind in LEADER_RECORD_KINDS:
             self._submissions.mark_leader_alive()
         if self._cell is not None and key.kind in CALLER_RECORD_KINDS:
--- a/src/egretcrank/controller/service.py
+++ b/src/egretcrank/controller/service.py
@@ -12,8 +12,10 @@
 from egretcrank.controller.submissions import Submissions
 from egretcrank.controller.tail import OUTAGE_THRESHOLD, Tail
 from egretcrank.errors.kinds import ErrorKind, Problem
+from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.store import Store, encode_keyed
 from egretcrank.policy.retries import compute_retry_delay
+from egretcrank.scheduling.backlog import Backlogs
 from egretcrank.scheduling.catalog import EMPTY_CATALOG, Catalog, Queue
 from egretcrank.scheduling.crashes import find_failure_reason
 from egretcrank.scheduling.definitions import (
@@ -45,6 +47,8 @@
 # Part of the caller's time limit that is reserved for sending the response.
 RESPONSE_MARGIN = timedelta(milliseconds=150)
 RETRY_AFTER_OUTAGE = timedelta(seconds=1)
+# Beyond this age of the view, no job is refused because of the backlog.
+MAX_BACKLOG_VIEW_AGE = timedelta(seconds=1)
 
 logger = logging.getLogger(__name__)
 
@@ -69,12 +73,16 @@
         table: JobTable,
         tail: Tail,
         submissions: Submissions,
+        backlogs: Backlogs,
+        metrics: Metrics,
     ) -> None:
         self._store = store
         self._submissions = submissions
         self._clock = clock
         self._table = table
         self._tail = tail
+        self._backlogs = backlogs
+        self._metrics = metrics
         self.catalog: Catalog = EMPTY_CATALOG
 
     def find_queue(self, host: str, path: str) -> Result[Queue, Problem]:
@@ -128,6 +136,9 @@
                 },
             )
             return Failure(outage)
+        refused = self._refuse_under_overload(definition)
+        if refused is not None:
+            return refused
         key = RecordKey(RecordKind.JOB, definition.job_id)
         value = encode_record(definition)
         stored = self._store_record(
@@ -145,6 +156,49 @@
         )
         return stored.map(lambda _: JobState(self._get_first_phase(definition.job_id)))
 
+    def _refuse_under_overload(
+        self, definition: JobDefinition
+    ) -> Result[JobState, Problem] | None:
+        """Return the answer to a job that cannot begin in time, None to store the job.
+
+        A job is refused only if no record of it was stored before this call. A caller
+        whose first attempt was stored without an answer may repeat it here before this
+        controller has read the record.
+        """
+        refusal = self._backlogs.find_refusal(definition)
+        if (
+            refusal is None
+            or self._tail.get_view_age() > MAX_BACKLOG_VIEW_AGE
+            or not self._tail.catch_up(REFRESH_TIMEOUT)
+        ):
+            return None
+        entry = self._table.find(definition.job_id)
+        if entry is not None:
+            return Success(JobState(entry.phase))
+        queue = definition.queue.name
+        self._metrics.jobs_refused.inc({"queue": queue, "reason": refusal.reason})
+        logger.info(
+            "job refused",
+            extra={
+                "job": definition.job_id,
+                "queue": queue,
+                "why": refusal.reason,
+                "retry_after": refusal.retry_after,
+                "on_time_backlog": refusal.on_time.total_seconds(),
+                "overdue_backlog": refusal.overdue.total_seconds(),
+                "objective": refusal.objective.total_seconds(),
+                "throughput_cores": refusal.throughput,
+            },
+        )
+        return Failure(
+            Problem(
+                ErrorKind.QUEUE_OVERLOADED,
+                "the job could not begin before it is too late",
+                queue,
+                retry_after=refusal.retry_after,
+            )
+        )
+
     def _get_first_phase(self, job_id: str) -> Phase:
         """Return the phase of a job whose record has just been stored."""
         return Phase.CANCELLED if self._table.is_cancelled(job_id) else Phase.QUEUED
--- a/src/egretcrank/controller/tail.py
+++ b/src/egretcrank/controller/tail.py
@@ -131,6 +131,20 @@
                 lambda: self.position > position, timeout.total_seconds()
             )
 
+    def catch_up(self, timeout: timedelta) -> bool:
+        """Wait until all records stored before this call have been passed on.
+
+        Ends the current pause, or skips the next one. Returns False on a timeout.
+        """
+        called_at = self._clock.boottime()
+        with self._progress:
+            self._refresh_due = True
+            self._progress.notify_all()
+            return self._progress.wait_for(
+                lambda: self._proven_at is not None and self._proven_at >= called_at,
+                timeout.total_seconds(),
+            )
+
     def _pause(self) -> None:
         with self._progress:
             self._pausing = True
--- a/src/egretcrank/errors/answers.py
+++ b/src/egretcrank/errors/answers.py
@@ -44,6 +44,7 @@
     ErrorKind.METHOD_NOT_ALLOWED: Answer(405, Ran.NO),
     ErrorKind.OVERLOADED: Answer(503, Ran.NO),
     ErrorKind.QUOTA_EXCEEDED: Answer(429, Ran.NO),
+    ErrorKind.QUEUE_OVERLOADED: Answer(429, Ran.NO),
     ErrorKind.NO_UPSTREAM: Answer(503, Ran.NO),
     ErrorKind.NO_OWNER: Answer(503, Ran.NO),
     ErrorKind.NOT_OWNER: Answer(503, Ran.NO),
--- a/src/egretcrank/errors/kinds.py
+++ b/src/egretcrank/errors/kinds.py
@@ -19,6 +19,7 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     OVERLOADED = "overloaded"
     QUOTA_EXCEEDED = "quota_exceeded"
+    QUEUE_OVERLOADED = "queue_overloaded"
     NO_UPSTREAM = "no_upstream"
     NO_OWNER = "no_owner"
     NOT_OWNER = "not_owner"
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -133,6 +133,18 @@
             "Jobs of the cell that have not ended.",
             registry=self._registry,
         )
+        self.jobs_refused = Counter(
+            "egretcrank_jobs_refused_total",
+            "Jobs refused under overload by queue and reason (backlog or"
+            " higher_priority).",
+            registry=self._registry,
+        )
+        self.queue_backlog_seconds = Gauge(
+            "egretcrank_queue_backlog_seconds",
+            "Time that the service of a queue takes for the queue's open jobs, NaN"
+            " while its throughput is uncertain.",
+            registry=self._registry,
+        )
         self.view_age_seconds = Gauge(
             "egretcrank_view_age_seconds",
             "Time for which records may have been stored that the leader has not read.",
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -201,7 +201,7 @@
         self.crashed_processes: set[tuple[str, int]] = set()
         # Trials that its tasks have passed since a runner last crashed under it.
         self.passed_trials = 0
-        self._critical_path = _find_critical_path(
+        self._critical_path = find_critical_path(
             definition.steps, [step.estimate for step in definition.steps]
         )
 
@@ -247,7 +247,7 @@
     def estimate_remaining(self, occurrence: int) -> timedelta:
         """Return the estimated duration of the remaining critical path."""
         steps = self.occurrences[occurrence]
-        return _find_critical_path(
+        return find_critical_path(
             self.definition.steps,
             [timedelta() if s.complete else s.definition.estimate for s in steps],
         )
@@ -324,9 +324,10 @@
         )
 
 
-def _find_critical_path(
+def find_critical_path(
     steps: tuple[Step, ...], durations: list[timedelta]
 ) -> timedelta:
+    """Return the duration of the longest chain of dependent steps."""
     ends: list[timedelta] = []
     for step, duration in zip(steps, durations, strict=True):
         begin = max((ends[earlier] for earlier in step.depends_on), default=timedelta())
--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -17,6 +17,7 @@
 from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.store import LogPage
 from egretcrank.scheduling import cell as cell_module
+from egretcrank.scheduling.backlog import Backlogs
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.definitions import JobDefinition
 from egretcrank.scheduling.records import Phase, ProgressRecord, encode_record
@@ -65,7 +66,13 @@
         self.submissions.mark_leader_alive()
         self.store = build_store(*responses)
         return JobService(
-            self.store, self.clock, self.table, self.tail, self.submissions
+            self.store,
+            self.clock,
+            self.table,
+            self.tail,
+            self.submissions,
+            Backlogs(self.clock, Metrics()),
+            Metrics(),
         )
 
     def list_appended(self) -> list[tuple[str, bytes]]:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -54,6 +54,7 @@
 )
 from egretcrank.policy.crashes import Crash
 from egretcrank.policy.slowdown import Slowdowns
+from egretcrank.scheduling.backlog import Backlogs
 from egretcrank.scheduling.catalog import (
     EMPTY_CATALOG,
     MAX_STRETCH,
@@ -235,6 +236,8 @@
             JobTable(),
             tail(),
             submissions,
+            Backlogs(clock, Metrics()),
+            Metrics(),
         )
         manifest = {"version": 1, "routes": [{**ROUTE, **route}]}
         service.catalog = parse_manifest(msgspec.json.encode(manifest)).unwrap()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -25,6 +25,7 @@
     Writer,
     encode_keyed,
 )
+from egretcrank.scheduling.backlog import Backlogs
 from egretcrank.scheduling.records import Phase, ProgressRecord, encode_record
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.wire.hosting import RunningTask, StartOrder, TaskProfile
@@ -298,7 +299,13 @@
         submissions = Submissions("c", "127.0.0.1:1", self.clock)
         submissions.mark_leader_alive()
         service = JobService(
-            build_store(*responses), self.clock, self.table, tail, submissions
+            build_store(*responses),
+            self.clock,
+            self.table,
+            tail,
+            submissions,
+            Backlogs(self.clock, Metrics()),
+            Metrics(),
         )
         if manifest is not None:
             catalog = parse_manifest(msgspec.json.encode(manifest))
