Count the work of long tasks in the throughput

Cause: jobs with tasks over 5 s were left out of the backlog and of the throughput, so the throughput was too low and jobs were refused that would have ended on time. Change: only the backlog leaves them out.

--- a/src/egretcrank/scheduling/backlog.py
+++ b/src/egretcrank/scheduling/backlog.py
@@ -27,8 +27,8 @@
 from egretcrank.scheduling.table import JobEntry, JobTable
 from egretcrank.scheduling.tasks import LATE_FACTOR, find_critical_path
 
-# Time over which the throughput is measured. Jobs with longer tasks do not count as
-# work to be done, as a window of this length may contain none of their ends.
+# Time over which the throughput is measured. Jobs with longer tasks do not stand before
+# others, as a window of this length may contain none of their ends.
 THROUGHPUT_WINDOW = timedelta(seconds=5)
 # Ends of tasks that are applied within this time are kept as one sample.
 SAMPLE_INTERVAL = timedelta(milliseconds=100)
@@ -76,6 +76,7 @@
         "_steps_done",
         "deadline",
         "demands",
+        "is_measurable",
         "is_started",
         "matters_until",
         "on_time_until",
@@ -92,6 +93,10 @@
         self.service = definition.queue.service
         self.priority = definition.queue.priority
         self.demands = _list_demands(definition)
+        # Whether the ends of its tasks are frequent enough for the window.
+        self.is_measurable = all(
+            step.estimate <= THROUGHPUT_WINDOW for step in definition.steps
+        )
         self.is_started = False
         objective = compute_objective(definition)
         self.deadline = (definition.submitted_at + objective).timestamp()
@@ -205,7 +210,7 @@
                 self._record_work(job, job.work, now)
             return
         if job is None:
-            if not _is_counted(entry.definition):
+            if not _is_finite(entry.definition):
                 return
             job = self._jobs[job_id] = _OpenJob(entry.definition)
             job.update(entry.progress)
@@ -239,7 +244,7 @@
 
     def find_refusal(self, definition: JobDefinition) -> Refusal | None:
         """Return why a new job is to be refused, None if it is to be accepted."""
-        if definition.repetitions or any(s.long_running for s in definition.steps):
+        if not _is_finite(definition):
             return None
         new = _OpenJob(definition)
         objective = compute_objective(definition).total_seconds()
@@ -319,7 +324,11 @@
     hosts that do not exist, while the new one could run. Best-effort tasks yield to
     all others, so their jobs go before best-effort jobs only.
     """
-    if job.service != new.service or not job.demands <= new.demands:
+    if (
+        job.service != new.service
+        or not job.is_measurable
+        or not job.demands <= new.demands
+    ):
         return False
     if job.priority != new.priority:
         return job.priority < new.priority
@@ -346,11 +355,10 @@
     return min(queue.stretch * chain + queue.target_latency, MAX_OBJECTIVE)
 
 
-def _is_counted(definition: JobDefinition) -> bool:
-    """Return whether a job ends, and does so by tasks that the window measures."""
+def _is_finite(definition: JobDefinition) -> bool:
+    """Return whether a job runs once and ends."""
     return not definition.repetitions and not any(
-        step.long_running or step.estimate > THROUGHPUT_WINDOW
-        for step in definition.steps
+        step.long_running for step in definition.steps
     )
 
 
