Measure the throughput as the highest of the last 20 s

Cause: after a change of the leader, a loss of power or an idle time, the ends of the last 5 s show less than the capacity, and urgent jobs were refused that would have ended on time. Change: the highest throughput over 5 s of the last 20 s counts.

--- a/src/egretcrank/scheduling/backlog.py
+++ b/src/egretcrank/scheduling/backlog.py
@@ -30,8 +30,10 @@
 # Time over which the throughput is measured. Jobs with longer tasks do not stand before
 # others, as a window of this length may contain none of their ends.
 THROUGHPUT_WINDOW = timedelta(seconds=5)
-# Ends of tasks that are applied within this time are kept as one sample.
-SAMPLE_INTERVAL = timedelta(milliseconds=100)
+# The highest throughput within this time counts. For some seconds after a change of the
+# leader, a loss of power or an idle time, the last window shows less than the capacity:
+# urgent jobs were refused then that would have ended on time.
+PEAK_MEMORY = timedelta(seconds=20)
 # A longer time without a progress record means that reads have paused or that no leader
 # writes. The throughput is uncertain until the window has been measured again.
 MAX_PROGRESS_GAP = timedelta(seconds=1)
@@ -143,27 +145,28 @@
 
 
 class _Throughput:
-    """Work done for the jobs of a service within the last THROUGHPUT_WINDOW."""
+    """Work done for the jobs of a service, by second."""
 
     def __init__(self) -> None:
-        self._samples: deque[tuple[timedelta, float]] = deque()
+        self._seconds: deque[tuple[int, float]] = deque()
 
     def add(self, work: float, now: timedelta) -> None:
-        if self._samples and now - self._samples[-1][0] < SAMPLE_INTERVAL:
-            begin, known = self._samples[-1]
-            self._samples[-1] = (begin, known + work)
-            return
-        self._samples.append((now, work))
-        self._drop_old(now)
+        second = now // SECOND
+        if self._seconds and self._seconds[-1][0] == second:
+            work += self._seconds.pop()[1]
+        self._seconds.append((second, work))
+        while self._seconds[0][0] <= second - PEAK_MEMORY // SECOND:
+            self._seconds.popleft()
 
     def compute(self, now: timedelta) -> float:
-        """Return the throughput in cores."""
-        self._drop_old(now)
-        return sum(work for _, work in self._samples) / (THROUGHPUT_WINDOW / SECOND)
-
-    def _drop_old(self, now: timedelta) -> None:
-        while self._samples and self._samples[0][0] < now - THROUGHPUT_WINDOW:
-            self._samples.popleft()
+        """Return the highest throughput of the last PEAK_MEMORY, in cores."""
+        length, window = PEAK_MEMORY // SECOND, THROUGHPUT_WINDOW // SECOND
+        first = now // SECOND - length + 1
+        done = [0.0] * length
+        for second, work in self._seconds:
+            if second >= first:
+                done[second - first] = work
+        return max(sum(done[i : i + window]) for i in range(length)) / window
 
 
 class Backlogs:
@@ -196,7 +199,6 @@
         """Measure anew after a pause, whose records come at once when it ends."""
         if self._progress_at is None or now - self._progress_at > MAX_PROGRESS_GAP:
             self._measured_since = now
-            self._throughputs.clear()
         self._progress_at = now
 
     def _update_job(self, job_id: str, entry: JobEntry | None, now: timedelta) -> None:
