Test that late work does not stand before new jobs, and how a view catches up

Cause: removing the first condition of a refusal, or counting jobs that are too late, passed all tests. Change: a test of both, and one of Tail.catch_up.

--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -148,6 +148,16 @@
             replay.accept(replay.define(f"stuck{number}", label="none"))
         self.assertIsNotNone(replay.backlogs.find_refusal(replay.define(label="none")))
 
+    def test_late_work_does_not_stand_before_new_jobs(self):
+        """Guards against refusals for work that goes after jobs that can be on time."""
+        replay = Replay(admits=False)
+        replay.play((6, 0.9 * CAPACITY), (25, BURST))
+        self.assertIsNotNone(replay.backlogs.find_refusal(replay.define()))
+        replay.play((3, 0))
+        self.assertIsNone(replay.backlogs.find_refusal(replay.define()))
+        # None of the open jobs can earn anything after nine more seconds.
+        self.assertEqual(replay.play((9, 0), (4, BURST)), [])
+
     def test_after_a_pause_in_reads_nothing_is_refused(self):
         """Guards against a throughput that misses the ends during the pause."""
         new = self.replay.overload()
--- a/tests/test_tail.py
+++ b/tests/test_tail.py
@@ -78,6 +78,18 @@
         self.assertEqual(tail.position, 2)
         self.assertEqual(store.reads, 2)
 
+    def test_catching_up_takes_a_read_that_begins_after_the_call(self):
+        """Guards against refusing a job that was stored since the last read."""
+        tail, store, _ = self._follow(LONG)
+        self.assertTrue(tail.wait_for(1, timedelta(seconds=TIMEOUT_SECONDS)))
+        clock: Any = tail._clock
+        clock.advance(timedelta(seconds=1))
+        self.assertTrue(tail.catch_up(timedelta(seconds=TIMEOUT_SECONDS)))
+        self.assertEqual(store.reads, 2)
+        log: Any = store
+        unread = Tail(log, "t", 0, ManualClock(), lambda records: None)
+        self.assertFalse(unread.catch_up(timedelta(milliseconds=10)))
+
     def test_a_refresh_outside_a_pause_returns_at_once(self):
         """Guards against waiting for records that do not exist."""
         store: Any = _Store()
