Leave jobs that may fit no host out of the backlog

Cause: the sizes of tasks have no limit. One job too large for every host would count as work before others until it is too late, and its delay would overflow. Change: only jobs whose tasks are no larger than those of a completed job count. Measured: the test of work that goes before a job covers it.

--- a/src/egretcrank/scheduling/backlog.py
+++ b/src/egretcrank/scheduling/backlog.py
@@ -47,7 +47,7 @@
 RETRY_SPREAD = 5 / 3
 SECOND = timedelta(seconds=1)
 ZERO = timedelta()
-# Demands beside the labels, which are not empty and have no leading space.
+# Demands beside the labels.
 ACCELERATORS = " accelerators"
 BEST_EFFORT = " best effort"
 OBSERVED_KINDS = (RecordKind.JOB, RecordKind.CANCELLATION, RecordKind.PROGRESS)
@@ -70,6 +70,13 @@
     throughput: float
 
 
+class _Size(NamedTuple):
+    """Largest processor time and memory of a task."""
+
+    cpu: int = 0
+    memory: int = 0
+
+
 class _OpenJob:
     """Work of a job that has not ended; times are in seconds, work in core-seconds."""
 
@@ -85,6 +92,7 @@
         "priority",
         "queue",
         "service",
+        "size",
         "work",
     )
 
@@ -95,6 +103,10 @@
         self.service = definition.queue.service
         self.priority = definition.queue.priority
         self.demands = _list_demands(definition)
+        self.size = _Size(
+            max(step.cpu for step in definition.steps),
+            max(step.memory for step in definition.steps),
+        )
         # Whether the ends of its tasks are frequent enough for the window.
         self.is_measurable = all(
             step.estimate <= THROUGHPUT_WINDOW for step in definition.steps
@@ -180,6 +192,8 @@
         # the sum could cause a refusal.
         self._open_work: dict[tuple[str, int, str], float] = {}
         self._throughputs: dict[str, _Throughput] = {}
+        # Largest tasks of completed jobs by service: larger ones may fit no host.
+        self._sizes: dict[str, _Size] = {}
         self._measured_since: timedelta | None = None
         self._progress_at: timedelta | None = None
         # Records are applied by one thread and requests are handled by others.
@@ -210,6 +224,8 @@
             self._change_open_work(job, -job.work)
             if entry is not None and entry.phase is Phase.COMPLETED:
                 self._record_work(job, job.work, now)
+                known = self._sizes.get(job.service, _Size())
+                self._sizes[job.service] = _Size(*map(max, known, job.size))
             return
         if job is None:
             if not _is_finite(entry.definition):
@@ -256,7 +272,12 @@
             limit = LATE_FACTOR * objective * throughput
             if not 0 < limit < self._sum_open_work(new):
                 return None
-            jobs = list(self._jobs.values())
+            largest = self._sizes.get(new.service, _Size())
+            jobs = [
+                job
+                for job in self._jobs.values()
+                if job.size.cpu <= largest.cpu and job.size.memory <= largest.memory
+            ]
         return _judge(new, jobs, objective, throughput, definition.job_id)
 
     def _sum_open_work(self, new: _OpenJob) -> float:
@@ -311,10 +332,10 @@
         return None
     return Refusal(
         "higher_priority" if higher > (on_time + overdue) / 2 else "backlog",
-        compute_retry_after(timedelta(seconds=excess), job_id),
-        timedelta(seconds=on_time),
-        timedelta(seconds=overdue),
-        timedelta(seconds=objective),
+        compute_retry_after(_build_delay(excess), job_id),
+        _build_delay(on_time),
+        _build_delay(overdue),
+        _build_delay(objective),
         throughput,
     )
 
@@ -357,6 +378,11 @@
     return min(queue.stretch * chain + queue.target_latency, MAX_OBJECTIVE)
 
 
+def _build_delay(seconds: float) -> timedelta:
+    """Return a delay within the range of ``timedelta``, as sizes have no limit."""
+    return timedelta(seconds=min(seconds, MAX_OBJECTIVE.total_seconds()))
+
+
 def _is_finite(definition: JobDefinition) -> bool:
     """Return whether a job runs once and ends."""
     return not definition.repetitions and not any(
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -145,7 +145,8 @@
         replay.play((6, 0.5 * CAPACITY))
         for number in range(150):
             self.assertEqual(replay.play((0.1, 0.5 * CAPACITY)), [])
-            replay.accept(replay.define(f"stuck{number}", label="none"))
+            replay.accept(replay.define(f"label{number}", label="none"))
+            replay.accept(replay.define(f"size{number}", cpu=1 << 62))
         self.assertIsNotNone(replay.backlogs.find_refusal(replay.define(label="none")))
 
     def test_late_work_does_not_stand_before_new_jobs(self):
