--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -9,7 +9,12 @@
 from collections.abc import Callable
 from functools import partial
 
-from bench.soak.processes import HOST_MILLICORES, Daemon, SoakCluster
+from bench.soak.processes import (
+    FAILURE_DOMAINS,
+    HOST_MILLICORES,
+    Daemon,
+    SoakCluster,
+)
 from bench.standins.platform_runner import PlatformRunner
 from bench.standins.platform_store import StoreMode
 
@@ -97,6 +102,10 @@
                 self._strike_after_crash,
             ]
 
+        # A fifth of the seeds, so that the others play as before.
+        if seed % 5 == 3:
+            self._faults = [*self._faults, *[self._evacuate_or_take_back] * 4]
+
     def run(self, seconds: float) -> None:
         """Inject faults for a number of seconds."""
         deadline = time.monotonic() + seconds
@@ -113,6 +122,8 @@
         for timer in self._timers:
             timer.join()
         self._cluster.store.mode = StoreMode.UP
+        for domain in FAILURE_DOMAINS:
+            self._cluster.take_back(domain)
         for runner in self._cluster.runners:
             runner.start_delay_probability = 0.0
             runner.late_replies = (0.0, 0.0, 0.0)
@@ -169,6 +180,13 @@
     def _restore_log(self) -> None:
         self._cluster.store.mode = StoreMode.UP
 
+    def _evacuate_or_take_back(self) -> None:
+        domain = self._rng.choice(FAILURE_DOMAINS)
+        if domain in self._cluster.observer.evacuated_at:
+            self._cluster.take_back(domain)
+        else:
+            self._cluster.evacuate(domain)
+
     def _drop_history(self) -> None:
         self._cluster.store.drop_history()
 
--- a/bench/soak/processes.py
+++ b/bench/soak/processes.py
@@ -57,7 +57,9 @@
 keep_ended_seconds = 600
 grace_seconds = 6
 harm_milliseconds = 4000
+evacuation_milliseconds = 5000
 """
+FAILURE_DOMAINS = ("z0", "z1")
 
 
 class Daemon:
@@ -143,6 +145,7 @@
         runner = PlatformRunner(
             f"r{number}", address, control, HOST_MILLICORES, self.observer
         )
+        runner.failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
         self.runners.append(runner)
         settings = self._render_host_settings(name, find_address())
         settings += f"[runner]\naddress = {address}\nheartbeat_address = {control}\n"
@@ -156,6 +159,16 @@
             store=self.links[name],
         )
 
+    def evacuate(self, domain: str) -> None:
+        """Ask to evacuate a failure domain."""
+        self.store.put("keyed.op", f"evacuate/{domain}", b"{}")
+        self.observer.evacuated_at.setdefault(domain, time.monotonic())
+
+    def take_back(self, domain: str) -> None:
+        """Withdraw the request to evacuate a failure domain."""
+        self.observer.evacuated_at.pop(domain, None)
+        self.store.put("keyed.op", f"evacuate/{domain}", b"")
+
     @property
     def daemons(self) -> list[Daemon]:
         """All daemon processes."""
--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -54,6 +54,11 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
+# Longest time from the acknowledgement of a request to evacuate a failure domain to a
+# start there.
+EVACUATION_SECONDS = 5.0
+
+
 class TaskStart(NamedTuple):
     """A task start that a runner carried out; ``arrived_at`` is that of its call."""
 
@@ -114,6 +119,8 @@
         self.further_starts: Counter[str] = Counter()
         # Runs of each task that ended with a life, for any reason.
         self.lost_runs: Counter[str] = Counter()
+        # When the requests to evacuate failure domains were acknowledged.
+        self.evacuated_at: dict[str, float] = {}
         self.problems: list[str] = []
         self.events: list[str] = []
 
@@ -140,6 +147,13 @@
         used = sum(run.cpu for run in runner.running.values())
         if used + _read_spec(started.spec).cpu > runner.find_allowed_cpu():
             self.problems.append(f"{runner.name} is over its capacity")
+        evacuated_at = self.evacuated_at.get(runner.failure_domain, started.arrived_at)
+        if started.arrived_at - evacuated_at > EVACUATION_SECONDS:
+            self.problems.append(
+                f"{started.task} starts on {runner.name} "
+                f"{started.arrived_at - evacuated_at:.1f} s after the request to "
+                f"evacuate {runner.failure_domain}"
+            )
         if self.crashes[started.task] >= MAX_CRASHES:
             self.further_starts[started.task] += 1
             if self.further_starts[started.task] == MAX_FURTHER_STARTS:
@@ -165,6 +179,7 @@
         self.name, self.address, self.cpu = name, address, cpu
         # Larger capacities of before that starts may still use.
         self._former_capacities: list[_FormerCapacity] = []
+        self.failure_domain = "z"
         self.start_delay_probability = 0.0
         # Share of the replies that are sent late, and their delay in seconds.
         self.late_replies = (0.0, 0.0, 0.0)
@@ -334,7 +349,7 @@
         heartbeat = {
             "service": "s",
             "address": self.address,
-            "zone": "z",
+            "zone": self.failure_domain,
             "version": "v1",
             "slots": 8,
             "state": "ready",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -59,6 +59,19 @@
         self._start(self.runners[1], "j.0.0.0", run=2)
         self.assertEqual(self.observer.problems, [])
 
+    def test_a_late_start_in_an_evacuated_domain_is_reported(self):
+        """Guards against a soak that misses starts after a request to evacuate."""
+        first, second = self.runners
+        first.failure_domain = "z0"
+        self.observer.evacuated_at["z0"] = time.monotonic() - 4
+        self._start(first, "j.0.0.0")
+        self.assertEqual(self.observer.problems, [])
+        self.observer.evacuated_at["z0"] -= 2
+        self._start(second, "k.0.0.0")
+        self._start(first, "l.0.0.0", spec='{"seconds":60,"cpu":100}')
+        (problem,) = self.observer.problems
+        self.assertRegex(problem, r"^l\.0\.0\.0 starts on r0 6\.\d s after .* z0$")
+
     def test_a_deadly_task_never_ends_done(self):
         """Guards against an alarm for a task whose timer fires after its time."""
         runner = self.runners[0]
