Move waiting starts and the delays of backlogs to modules of their own

Change: WaitingStart and StartPermit are in agent/starts.py, the delay after a refusal for a backlog in policy/retries.py. No behaviour changes.

--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -9,7 +9,8 @@
 from returns.result import Failure, Success
 
 from egretcrank.agent.pace import PaceChange
-from egretcrank.agent.state import AgentState, WaitingStart
+from egretcrank.agent.starts import WaitingStart
+from egretcrank.agent.state import AgentState
 from egretcrank.agent.tokens import FencingToken
 from egretcrank.clock import Clock
 from egretcrank.errors.answers import was_not_run
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -13,6 +13,7 @@
 from egretcrank.agent.limits import StartLimits
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.rooms import RoomLedger, fits
+from egretcrank.agent.starts import StartPermit, WaitingStart
 from egretcrank.agent.stops import StopList
 from egretcrank.platform.runner import RunnerSnapshot
 from egretcrank.settings.platform import BoundSettings
@@ -30,7 +31,6 @@
     RunnerInfo,
     RunnerRequirement,
     RunningTask,
-    StartOrder,
     TaskProfile,
     find_job,
     find_step,
@@ -75,36 +75,6 @@
     incarnation: str
 
 
-class WaitingStart(NamedTuple):
-    """A start that was ordered in ``session`` and has not been sent yet.
-
-    ``requirement`` is unset if the leader sends none.
-    """
-
-    order: StartOrder
-    session: tuple[int, int]
-    accepted_at: timedelta
-    requirement: RunnerRequirement | None = None
-
-    @property
-    def run(self) -> Run:
-        """Return the run that the order starts."""
-        return Run(self.order.task, self.order.run)
-
-
-class StartPermit(NamedTuple):
-    """Permission to send a start now.
-
-    ``deadline`` is the end of the lease on the clock of the runner process ``born``.
-    The start is meant for ``process`` alone, the one whose description was checked. It
-    differs from ``born`` until the first reply of that process.
-    """
-
-    deadline: int
-    born: int
-    process: int
-
-
 class AgentState:
     """State of one agent. Not thread-safe: the daemon holds a lock around each call.
 
--- a/src/egretcrank/policy/retries.py
+++ b/src/egretcrank/policy/retries.py
@@ -11,6 +11,12 @@
 MAX_SHORT_OUTAGE = timedelta(seconds=2)
 MIN_RETRY_DELAY = timedelta(seconds=1)
 MAX_RETRY_DELAY = timedelta(seconds=3)
+# The same for a backlog, whose end can be estimated.
+MIN_BACKLOG_DELAY = timedelta(seconds=1)
+MAX_BACKLOG_DELAY = timedelta(seconds=10)
+# Delays are spread up to this factor above the earliest useful time, and by at least a
+# second, as they are sent in whole seconds.
+BACKLOG_SPREAD = 5 / 3
 SECOND = timedelta(seconds=1)
 CRC32_RANGE = 1 << 32
 
@@ -27,3 +33,16 @@
     delay = min(outage, MAX_RETRY_DELAY)
     jitter = crc32(request.encode()) / CRC32_RANGE
     return int(delay / SECOND + jitter) * SECOND
+
+
+def compute_retry_after(excess: timedelta, job_id: str) -> timedelta:
+    """Return the time in whole seconds after which a refused caller should retry.
+
+    ``excess`` is the time after which the job could be begun early enough. The result
+    is spread by a hash of the job's identifier, so that callers refused at the same
+    time do not retry at the same time.
+    """
+    earliest = min(max(excess, MIN_BACKLOG_DELAY), MAX_BACKLOG_DELAY / BACKLOG_SPREAD)
+    latest = max(earliest * BACKLOG_SPREAD, earliest + SECOND)
+    share = crc32(job_id.encode()) / CRC32_RANGE
+    return round((earliest + share * (latest - earliest)) / SECOND) * SECOND
--- a/src/egretcrank/scheduling/backlog.py
+++ b/src/egretcrank/scheduling/backlog.py
@@ -11,11 +11,10 @@
 from collections import deque
 from datetime import timedelta
 from typing import NamedTuple
-from zlib import crc32
 
 from egretcrank.clock import Clock
 from egretcrank.observability.metrics import Metrics
-from egretcrank.policy.retries import CRC32_RANGE
+from egretcrank.policy.retries import compute_retry_after
 from egretcrank.scheduling.definitions import MAX_OBJECTIVE, JobDefinition, Step
 from egretcrank.scheduling.records import (
     Phase,
@@ -40,11 +39,6 @@
 # Overdue work, in objectives of the new job, below which nothing is refused. Without
 # such work, the throughput may be that of the arrivals instead of the capacity.
 MIN_OVERDUE_OBJECTIVES = 1
-MIN_RETRY_AFTER = timedelta(seconds=1)
-MAX_RETRY_AFTER = timedelta(seconds=10)
-# Retry-After is spread up to this factor above the earliest useful time, and by at
-# least a second, as it is sent in whole seconds.
-RETRY_SPREAD = 5 / 3
 SECOND = timedelta(seconds=1)
 ZERO = timedelta()
 # Demands beside the labels.
@@ -358,19 +352,6 @@
     return job.is_started or job.deadline <= new.deadline
 
 
-def compute_retry_after(excess: timedelta, job_id: str) -> timedelta:
-    """Return the time in whole seconds after which a refused caller should retry.
-
-    ``excess`` is the time after which the job could be begun early enough. The result
-    is spread by a hash of the job's identifier, so that callers refused at the same
-    time do not retry at the same time.
-    """
-    earliest = min(max(excess, MIN_RETRY_AFTER), MAX_RETRY_AFTER / RETRY_SPREAD)
-    latest = max(earliest * RETRY_SPREAD, earliest + SECOND)
-    share = crc32(job_id.encode()) / CRC32_RANGE
-    return round((earliest + share * (latest - earliest)) / SECOND) * SECOND
-
-
 def compute_objective(definition: JobDefinition) -> timedelta:
     """Return the time within which a job has to end to be on time."""
     steps, queue = definition.steps, definition.queue
--- a/tests/cell_world.py
+++ b/tests/cell_world.py
@@ -17,12 +17,8 @@
 from returns.result import Failure, Success
 
 from egretcrank.agent.pace import PaceController
-from egretcrank.agent.state import (
-    AgentState,
-    Identity,
-    StartPermit,
-    WaitingStart,
-)
+from egretcrank.agent.starts import StartPermit, WaitingStart
+from egretcrank.agent.state import AgentState, Identity
 from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.runner import MAX_LISTED_ENDS, RunnerSnapshot
 from egretcrank.scheduling.catalog import Catalog, Queue, Service
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -10,6 +10,7 @@
 from egretcrank.controller.submissions import Submissions
 from egretcrank.errors.answers import ANSWERS, Ran
 from egretcrank.observability.metrics import Metrics
+from egretcrank.policy import retries
 from egretcrank.scheduling import backlog
 from egretcrank.scheduling.definitions import JobDefinition
 from egretcrank.scheduling.ordering import order_steps
@@ -197,7 +198,7 @@
         """Guards against a second burst made of retries."""
         for excess, expected in ((0, {1, 2}), (3, {3, 4, 5}), (99, {6, 7, 8, 9, 10})):
             delays = {
-                backlog.compute_retry_after(excess * SECOND, f"{n}") // SECOND
+                retries.compute_retry_after(excess * SECOND, f"{n}") // SECOND
                 for n in range(200)
             }
             self.assertEqual(delays, expected)
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -11,7 +11,8 @@
 from egretcrank.agent.daemon import Agent
 from egretcrank.agent.execution import OrderExecutor
 from egretcrank.agent.pace import PaceController
-from egretcrank.agent.state import AgentState, Identity, WaitingStart
+from egretcrank.agent.starts import WaitingStart
+from egretcrank.agent.state import AgentState, Identity
 from egretcrank.agent.tokens import FencingToken
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.observability.metrics import Metrics
--- a/tests/test_order_turns.py
+++ b/tests/test_order_turns.py
@@ -8,12 +8,8 @@
 
 from egretcrank.agent.execution import START_THREADS
 from egretcrank.agent.pace import PaceChange
-from egretcrank.agent.state import (
-    OUTDATED,
-    SESSION_OVER,
-    StartPermit,
-    WaitingStart,
-)
+from egretcrank.agent.starts import StartPermit, WaitingStart
+from egretcrank.agent.state import OUTDATED, SESSION_OVER
 from egretcrank.agent.stops import STOP_RESEND_DELAY, StopList
 from egretcrank.platform.runner import (
     FENCED,
--- a/tests/test_run_evidence.py
+++ b/tests/test_run_evidence.py
@@ -7,12 +7,8 @@
 
 from egretcrank.agent.daemon import Agent
 from egretcrank.agent.pace import MEASUREMENT_INTERVAL
-from egretcrank.agent.state import (
-    FULL_REPORT_INTERVAL,
-    AgentState,
-    Identity,
-    WaitingStart,
-)
+from egretcrank.agent.starts import WaitingStart
+from egretcrank.agent.state import FULL_REPORT_INTERVAL, AgentState, Identity
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.platform.calls import HttpClient
 from egretcrank.platform.runner import RunnerSnapshot
--- a/tests/test_runner_connections.py
+++ b/tests/test_runner_connections.py
@@ -9,7 +9,8 @@
 from returns.result import Failure, Success
 
 from egretcrank.agent.execution import OrderExecutor
-from egretcrank.agent.state import AgentState, Identity, WaitingStart
+from egretcrank.agent.starts import WaitingStart
+from egretcrank.agent.state import AgentState, Identity
 from egretcrank.agent.tokens import FencingToken
 from egretcrank.errors.answers import was_not_run
 from egretcrank.observability.metrics import Metrics
--- a/tests/test_stale_views.py
+++ b/tests/test_stale_views.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from egretcrank.agent.state import WaitingStart
+from egretcrank.agent.starts import WaitingStart
 from egretcrank.controller.tail import URGENT_POLL_TIMEOUT
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.records import Phase
--- a/tests/test_waiting_jobs.py
+++ b/tests/test_waiting_jobs.py
@@ -4,7 +4,7 @@
 
 from returns.result import Success
 
-from egretcrank.agent.state import WaitingStart
+from egretcrank.agent.starts import WaitingStart
 from egretcrank.scheduling.records import Phase
 from tests.cases import AsyncTestCase
 from tests.cell_world import Agent, World, build_step
--- a/tests/test_withdrawn_orders.py
+++ b/tests/test_withdrawn_orders.py
@@ -10,7 +10,7 @@
 from egretcrank.agent.daemon import Agent
 from egretcrank.agent.execution import START_THREADS, STOP_THREADS
 from egretcrank.agent.pace import PaceChange
-from egretcrank.agent.state import WaitingStart
+from egretcrank.agent.starts import WaitingStart
 from egretcrank.agent.stops import STOP_RESEND_DELAY
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.platform.runner import CommandResult, Runner, RunnerSnapshot
