Mend what the reviews of evacuation, host health and admission found

Found: a new leader that read only an unreadable value started in a domain that others held evacuated; a compacted read with a row that could not be read took domains back; a leader on a host that had just booted placed tasks before it had read the operator's records; one lost read of an idle topic made the view too old; all tasks of a starved job went to a quarantined host and used up its attempts (trial of the reviewer: 16 starts, all failed); a job that only such a host can run waited while other services were busy; a trial that no runner confirms kept its host out of use; tests of hosts ignored racks and exclusions; few overdue jobs counted as proof of overload; a reply could be taken for one on a former connection.

Not mended: suspects of crashes are not tried on avoided hosts; a step with failed and other tasks decides once for both about its rack.

--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -237,11 +237,11 @@
         key = self._table.apply(stored)
         if key is None:
             return
-        self._backlogs.observe(self._table, key)
         if key.kind in LEADER_RECORD_KINDS:
             self._submissions.mark_leader_alive()
         if self._cell is not None and key.kind in CALLER_RECORD_KINDS:
             self._cell.apply_job(key.name)
+        self._backlogs.observe(self._table, key)
 
     def _apply_catalog(self, catalog: Catalog) -> None:
         with self._lock:
@@ -310,7 +310,13 @@
             with self._lock:
                 if self._pending_epoch == epoch:
                     self._pending_epoch = 0
-                self._jobs_tail.set_urgent(self._cell is not None)
+                self._set_urgent(self._cell is not None)
+
+    def _set_urgent(self, urgent: bool) -> None:
+        """Read what starts depend on without pauses, or with pauses again."""
+        self._jobs_tail.set_urgent(urgent)
+        if self._settings.bounds.evacuation is not None:
+            self._operator_records.set_urgent(urgent)
 
     def _fence(self, appender: Appender) -> Appended | None:
         """Append the leader record, which fences former leaders.
@@ -338,7 +344,7 @@
         """Fence former leaders, read the log up to the fence, and open the cell."""
         if self._jobs_tail.position < 0:
             return
-        self._jobs_tail.set_urgent(True)
+        self._set_urgent(True)
         appender = Appender(self._store, self._clock, epoch)
         appended = self._fence(appender)
         if appended is None:
@@ -399,7 +405,7 @@
             self._cell = None
             self._committer = None
             self._submissions.set_committer(None)
-            self._jobs_tail.set_urgent(False)
+            self._set_urgent(False)
         if committer is not None:
             committer.stop()
         if cell is not None:
--- a/src/egretcrank/controller/operator_records.py
+++ b/src/egretcrank/controller/operator_records.py
@@ -43,6 +43,7 @@
         self._on_evacuations = on_evacuations
         self._catalog = EMPTY_CATALOG
         self._evacuations = Evacuations(clock)
+        self._evacuated: frozenset[str] = frozenset()
         self._tail = Tail(
             store,
             OPERATOR_TOPIC,
@@ -57,6 +58,10 @@
         """Time before which all records stored have been applied, None if unknown."""
         return self._tail.proven_at
 
+    def set_urgent(self, urgent: bool) -> None:
+        """Read without pauses, as starts depend on the age of the view, or with."""
+        self._tail.set_urgent(urgent)
+
     def run(self) -> None:
         """Follow the records until the process ends."""
         self._tail.run()
@@ -74,10 +79,12 @@
     def _apply_evacuations(
         self, records: tuple[StoredValue, ...], is_complete: bool
     ) -> None:
-        if self._evacuations.apply(records, is_complete):
-            domains = self._evacuations.domains
+        self._evacuations.apply(records, is_complete)
+        domains = self._evacuations.domains
+        if domains != self._evacuated:
             self._metrics.evacuated_domains.set({}, len(domains))
             self._on_evacuations(domains)
+            self._evacuated = domains
 
     def _apply_configurations(self, records: tuple[StoredValue, ...]) -> None:
         for stored in records:
--- a/src/egretcrank/controller/tail.py
+++ b/src/egretcrank/controller/tail.py
@@ -41,7 +41,8 @@
 
     ``on_records`` is called with each batch of records, in order. The first batch holds
     the newest record of each key, as does the one after the position to read on from
-    has expired; ``on_newest`` is called with these instead, if given.
+    has expired; ``on_newest`` is called with these instead, if given, unless one of the
+    keys may be missing.
     """
 
     def __init__(
@@ -184,7 +185,8 @@
                     self._stopped.wait(RETRY_DELAY.total_seconds())
 
     def _pass_on(self, page: LogPage) -> None:
-        if self._position is None and self._on_newest is not None:
+        is_compacted = self._position is None
+        if is_compacted and self._on_newest is not None and page.is_complete:
             # Without any record, too, as that shows what was deleted.
             self._on_newest(page.records)
         elif page.records:
--- a/src/egretcrank/platform/calls.py
+++ b/src/egretcrank/platform/calls.py
@@ -31,20 +31,23 @@
 
     def request(self, *args: Any, **kwargs: Any) -> None:
         required = _thread.required_process
-        if required and self.identified != (self.sock, required):
+        if required is not None and self.identified != (self.sock, required):
             message = "no open connection to the process is known"
             raise urllib3.exceptions.NewConnectionError(self, message)
-        super().request(*args, **kwargs)
-        _thread.connection, _thread.socket = self, self.sock
+        try:
+            super().request(*args, **kwargs)
+        finally:
+            # An early reply is read also where the request could not be sent in full.
+            _thread.connection, _thread.socket = self, self.sock
 
 
 class _ThreadState(threading.local):
     """Restriction of the calls of one thread, and the connection that it used last.
 
-    ``required_process`` is 0 while calls may use any connection and open new ones.
+    ``required_process`` is unset while calls may use any connection and open new ones.
     """
 
-    required_process = 0
+    required_process: int | None = None
     connection: _Connection | None = None
     socket: "socket.socket | None" = None
 
@@ -62,7 +65,7 @@
     try:
         yield
     finally:
-        _thread.required_process = 0
+        _thread.required_process = None
 
 
 def identify_process(process: int) -> None:
@@ -106,6 +109,7 @@
         headers: Mapping[str, str] | None = None,
     ) -> Result[Response, Problem]:
         """Send a request and wait up to ``timeout`` for the response."""
+        _thread.connection = _thread.socket = None
         timeouts = urllib3.Timeout(
             connect=min(CONNECT_TIMEOUT, timeout).total_seconds(),
             read=timeout.total_seconds(),
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -71,10 +71,14 @@
 
 
 class LogPage(NamedTuple):
-    """Consecutive records and the end offset of the partition."""
+    """Consecutive records and the end offset of the partition.
+
+    A compacted read is complete if no key with a record is missing.
+    """
 
     end: int
     records: tuple[StoredValue, ...]
+    is_complete: bool = True
 
 
 class Assignment(NamedTuple):
@@ -194,7 +198,7 @@
         all pages.
         """
         records: list[StoredValue] = []
-        end = -1
+        end, listed = -1, 0
         url = f"/-/log-newest?topic={topic}&part={partition}"
         next_url = url
         while True:
@@ -202,9 +206,11 @@
             match response.bind(_parse_newest):
                 case Success(page):
                     records.extend(_decode_items(page.items))
+                    listed += len(page.items)
                     end = page.end if end < 0 else min(end, page.end)
                     if not page.has_more or not page.items:
-                        return Success(LogPage(end, tuple(records)))
+                        is_complete = len(records) == listed and not page.has_more
+                        return Success(LogPage(end, tuple(records), is_complete))
                     last_key = _find_last_key(page.items)
                     # The parameter ``depends_on`` names the last key already read.
                     known_url = next_url
--- a/src/egretcrank/scheduling/backlog.py
+++ b/src/egretcrank/scheduling/backlog.py
@@ -39,6 +39,8 @@
 # Overdue work, in objectives of the new job, below which nothing is refused. Without
 # such work, the throughput may be that of the arrivals instead of the capacity.
 MIN_OVERDUE_OBJECTIVES = 1
+# A few jobs may be overdue because of tasks that hang, while most hosts are free.
+MIN_OVERDUE_JOBS = 3
 SECOND = timedelta(seconds=1)
 ZERO = timedelta()
 # Demands beside the labels.
@@ -307,6 +309,7 @@
     """
     now = new.deadline - objective
     on_time = overdue = higher = 0.0
+    overdue_jobs = 0
     for job in jobs:
         if not _goes_before(job, new) or now > job.matters_until:
             continue
@@ -314,6 +317,7 @@
             on_time += job.work
         else:
             overdue += job.work
+            overdue_jobs += 1
         if job.priority < new.priority:
             higher += job.work
     on_time, overdue, higher = (w / throughput for w in (on_time, overdue, higher))
@@ -321,6 +325,7 @@
     if (
         excess <= 0
         or overdue < MIN_OVERDUE_OBJECTIVES * objective
+        or overdue_jobs < MIN_OVERDUE_JOBS
         or on_time + overdue <= LATE_FACTOR * objective
     ):
         return None
--- a/src/egretcrank/scheduling/evacuation.py
+++ b/src/egretcrank/scheduling/evacuation.py
@@ -9,8 +9,6 @@
 from collections.abc import Iterable, Mapping
 from datetime import timedelta
 
-import msgspec
-
 from egretcrank.clock import Clock
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.table import StoredValue
@@ -38,6 +36,8 @@
     def apply(self, records: Iterable[StoredValue], is_complete: bool = False) -> bool:
         """Apply records of the operator's topic; return whether a domain changed.
 
+        The key alone is the request. A value that cannot be read must not divide the
+        controllers that know the record before it from those that do not.
         ``is_complete`` tells that the records are the newest of all keys. A domain
         without one has been taken back, even if that record has expired.
         """
@@ -47,38 +47,26 @@
             if not record.key.startswith(KEY_PREFIX):
                 continue
             domain = record.key.removeprefix(KEY_PREFIX)
-            if not record.value:
-                self._take_back(domain)
-            elif self._is_valid(domain, record):
+            if not domain:
+                logger.error(
+                    "request to evacuate refused",
+                    extra={
+                        "key": record.key,
+                        "offset": record.offset,
+                        "detail": "the key names no failure domain",
+                        "expected": f"{KEY_PREFIX}DOMAIN",
+                    },
+                )
+            elif record.value:
                 listed.add(domain)
                 self._request(domain)
             else:
-                # An unreadable record changes nothing, also in a complete list.
-                listed.add(domain)
+                self._take_back(domain)
         if is_complete:
             for domain in before - listed:
                 self._take_back(domain)
         return self.domains != before
 
-    def _is_valid(self, domain: str, record: StoredValue) -> bool:
-        try:
-            msgspec.json.decode(record.value, type=dict[str, msgspec.Raw])
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
-            detail = str(error)
-        else:
-            detail = "" if domain else "the key names no failure domain"
-        if detail:
-            logger.error(
-                "request to evacuate refused",
-                extra={
-                    "key": record.key,
-                    "offset": record.offset,
-                    "detail": detail,
-                    "expected": f"{KEY_PREFIX}DOMAIN with a JSON object",
-                },
-            )
-        return not detail
-
     def _request(self, domain: str) -> None:
         if domain not in self._requested_at:
             self._requested_at[domain] = self._clock.boottime()
--- a/src/egretcrank/scheduling/host_health.py
+++ b/src/egretcrank/scheduling/host_health.py
@@ -128,7 +128,6 @@
         self._failing: set[str] = set()
         self._speeds = HostSpeeds(runs, metrics)
         self._pruned_at = timedelta()
-        self._gauge = 0
         metrics.hosts_avoided.set({}, 0)
 
     # Evidence
@@ -270,6 +269,7 @@
 
     def _end_quarantine(self, host: str, reason: str) -> None:
         quarantine = self._quarantines.pop(host)
+        self._metrics.hosts_avoided.set({}, len(self._quarantines))
         now = self._clock.boottime()
         self._records[host].judged_at = now
         self._metrics.host_verdicts.inc({"reason": reason})
@@ -290,6 +290,11 @@
             extra={"host": placement.host, "task": placement.task.format()},
         )
 
+    def has_trial(self, host: str) -> bool:
+        """Return whether a run tests the host now."""
+        quarantine = self._quarantines.get(host)
+        return quarantine is not None and quarantine.trial is not None
+
     def is_on_trial(self, host: str) -> bool:
         """Return whether a host is past its quarantine but has run nothing well."""
         quarantine = self._quarantines.get(host)
@@ -298,17 +303,22 @@
     def _update_trials(self, now: timedelta) -> None:
         for host, quarantine in list(self._quarantines.items()):
             trial = quarantine.trial
-            if trial is not None and self._runs.find(trial.task) is not trial:
+            if trial is not None and (
+                self._runs.find(trial.task) is not trial
+                or trial.phase is RunPhase.STOPPING
+            ):
                 # It was stopped or refused, which tells nothing.
                 trial = quarantine.trial = None
             if trial is None:
                 if now - quarantine.until > MAX_TRIAL_WAIT:
                     self._end_quarantine(host, "untested")
-            elif (
-                trial.phase is RunPhase.RUNNING
-                and now - trial.placed_at > MAX_TRIAL_TIME
-            ):
-                self._end_quarantine(host, "recovered")
+            elif now - trial.placed_at > MAX_TRIAL_TIME:
+                if trial.phase is RunPhase.RUNNING:
+                    self._end_quarantine(host, "recovered")
+                else:
+                    # The runner does not confirm the start.
+                    job = trial.task.job_id
+                    self._quarantine(host, quarantine.failed_jobs, "relapse", (job,))
 
     # Decisions
 
@@ -317,11 +327,10 @@
         self._prune(now)
         slow = self._speeds.list_slow(hosts, now)
         if not self._quarantines and not self._failing and not slow:
-            self._set_gauge(0)
             return HEALTHY
         self._update_trials(now)
         avoided = self._list_avoided(hosts)
-        self._set_gauge(len(avoided))
+        self._metrics.hosts_avoided.set({}, len(avoided))
         testable = frozenset(
             host
             for host in avoided
@@ -370,16 +379,11 @@
             host for host, at in job.failed_on.items() if now - at < RETRY_DELAY
         )
 
-    def _set_gauge(self, count: int) -> None:
-        if count != self._gauge:
-            self._gauge = count
-            self._metrics.hosts_avoided.set({}, count)
-
     def _prune(self, now: timedelta) -> None:
         if now - self._pruned_at < PRUNE_INTERVAL:
             return
         self._pruned_at = now
-        self._speeds.prune()
+        self._speeds.prune(self._hosts)
         for job_id, job in list(self._jobs.items()):
             if now - job.failed_at > JOB_RETENTION:
                 del self._jobs[job_id]
--- a/src/egretcrank/scheduling/host_speed.py
+++ b/src/egretcrank/scheduling/host_speed.py
@@ -6,7 +6,7 @@
 
 import logging
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Container, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 from math import ceil
@@ -112,8 +112,9 @@
         self._position = (begin + count) % max(1, len(hosts))
         return self._slow
 
-    def prune(self) -> None:
-        """Forget the steps that have ended."""
+    def prune(self, hosts: Container[str]) -> None:
+        """Forget the steps that have ended and the hosts that are gone."""
+        self._slow = frozenset(host for host in self._slow if host in hosts)
         for step in list(self._siblings):
             if step.complete or step.job.phase.final:
                 del self._siblings[step]
--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -27,6 +27,7 @@
     Ranking,
     find_busy_share,
     find_max_free,
+    is_eligible,
 )
 from egretcrank.scheduling.runs import Runs
 from egretcrank.scheduling.settings import CellSettings
@@ -119,17 +120,14 @@
             if include_best_effort:
                 testable = [host for host in avoided if host.name in view.testable]
                 self._test_hosts(ordered, testable)
-            if find_busy_share(all_usable) >= MAX_BUSY_SHARE:
-                avoided = []
         max_free = find_max_free(usable)
         for step in ordered:
             if step.definition.best_effort and not include_best_effort:
                 continue
             if max_free.may_fit(step.definition) and not self._place(step, usable):
                 max_free = find_max_free(usable)
-            # A job that only avoided hosts can run would wait for all of a quarantine.
-            if avoided and step.waiting and self._is_starved(step.job, all_usable):
-                self._place(step, avoided)
+            if avoided and step.waiting:
+                self._place_on_avoided(step, usable, avoided, all_usable)
 
     def _test_hosts(
         self, ordered: Sequence[StepState], hosts: Sequence[HostState]
@@ -143,11 +141,39 @@
                     self.health.begin_trial(self._runs[step.get_task_key(index)])
                     break
 
+    def _place_on_avoided(
+        self,
+        step: StepState,
+        usable: Sequence[HostState],
+        avoided: Sequence[HostState],
+        all_usable: Sequence[HostState],
+    ) -> None:
+        """Start one task of a starved job that only avoided hosts can run.
+
+        Otherwise it would wait for all of a quarantine. Further tasks wait for the end
+        of this one, as the host may fail it.
+        """
+        service = self._find_queue(step.job).service
+        pool = [h for h in all_usable if h.runner and h.runner.service == service]
+        if not self._is_starved(step.job, pool):
+            return
+        if any(is_eligible(step, service, host) for host in usable):
+            return
+        left = [host for host in avoided if not self.health.has_trial(host.name)]
+        best = Ranking(step, service, left, self._pressures).best
+        for index in list_unsuspected(step)[:1]:
+            if best is not None:
+                self._start(step, index, best.host)
+                self.health.begin_trial(self._runs[step.get_task_key(index)])
+
     def _find_test_task(self, step: StepState, host: HostState) -> int | None:
         """Return a task for which a failure on the host would not be the last one."""
         queue = self._find_queue(step.job)
         if step.definition.long_running or queue.max_attempts < 2:
             return None
+        if wants_rack(step.definition) and host.rack != step.definition.rack:
+            return None
+        excluded = self.health.list_excluded(step.job.job_id, self._clock.boottime())
         best = Ranking(step, queue.service, [host], self._pressures).best
         if best is None or not best.worthwhile:
             return None
@@ -155,6 +181,7 @@
             index
             for index in list_unsuspected(step)
             if step.tasks[index].failures + 1 < queue.max_attempts
+            and not (step.tasks[index].failures and host.name in excluded)
         )
         return next(spare, None)
 
--- a/src/egretcrank/scheduling/settings.py
+++ b/src/egretcrank/scheduling/settings.py
@@ -53,4 +53,7 @@
     @property
     def min_start_time(self) -> timedelta:
         """Return the shortest time for an order's way that a task is placed with."""
-        return min(MAX_ORDER_TIME, self.start_limit / 3)
+        limit = self.start_limit
+        if self.evacuation_start_limit is not None:
+            limit = min(limit, self.evacuation_start_limit)
+        return min(MAX_ORDER_TIME, limit / 3)
--- a/src/egretcrank/scheduling/views.py
+++ b/src/egretcrank/scheduling/views.py
@@ -25,9 +25,10 @@
         self._settings = settings
         self._clock = clock
         self._epoch = epoch
-        # All records that were stored before these times have been applied.
+        # All records that were stored before these times have been applied. A takeover
+        # reads the cell's topic first, but not that of the operator.
         self._jobs_proven_at = timedelta()
-        self._operator_proven_at = timedelta()
+        self._operator_proven_at: timedelta | None = None
         self._is_open = True
 
     def confirm_jobs(self, proven_at: timedelta) -> None:
@@ -36,7 +37,7 @@
 
     def confirm_operator(self, proven_at: timedelta) -> None:
         """Record that all records of the operator stored before a time were applied."""
-        self._operator_proven_at = max(self._operator_proven_at, proven_at)
+        self._operator_proven_at = proven_at
 
     @property
     def view_age(self) -> timedelta:
@@ -52,6 +53,8 @@
         evacuation_limit = self._settings.evacuation_start_limit
         if evacuation_limit is None:
             return left
+        if self._operator_proven_at is None:
+            return timedelta()
         return min(left, self._operator_proven_at + evacuation_limit - now)
 
     def compute_seconds(self, reported_at: timedelta, now: timedelta) -> float:
@@ -78,8 +81,10 @@
                     "epoch": self._epoch,
                     "view_age": (now - self._jobs_proven_at).total_seconds(),
                     "operator_view_age": (
-                        now - self._operator_proven_at
-                    ).total_seconds(),
+                        (now - self._operator_proven_at).total_seconds()
+                        if self._operator_proven_at is not None
+                        else None
+                    ),
                     "open_jobs": open_jobs,
                 },
             )
--- a/tests/test_host_health.py
+++ b/tests/test_host_health.py
@@ -130,6 +130,33 @@
         world.run(1.5)
         self.assertEqual(world.find_phase(job), Phase.RUNNING)
 
+    def test_one_task_at_a_time_tries_the_only_host_that_is_left(self):
+        """Guards against a faulty host that uses up the attempts of all tasks."""
+        world = HealthWorld()
+        world.runners[0].kind = "b"
+        world.run(0.5)
+        world.faulty_hosts = {"h0"}
+        for _ in range(4):
+            world.health._quarantine("h0", 2, "failures", ())
+        job = world.submit(build_step(width=4, label="b"))
+        world.run(1.6)
+        self.assertEqual(world.failures, 1)
+        world.faulty_hosts = set()
+        world.run(9)
+        self.assertEqual(world.failures, 1)
+        self.assertEqual(world.find_phase(job), Phase.COMPLETED)
+
+    def test_a_trial_that_is_never_confirmed_is_a_relapse(self):
+        """Guards against a host that is neither used nor tested any more."""
+        world = HealthWorld()
+        world.faulty_hosts = {"h0"}
+        world.run_until_avoided("h0")
+        level = world.health._quarantines["h0"].level
+        with patch.object(world.agents["h0"], "carry_out_orders"):
+            world.submit_load(6)
+        quarantine = world.health._quarantines["h0"]
+        self.assertGreater(quarantine.level, level)
+
     def test_jobs_that_fail_on_every_host_are_no_evidence_against_hosts(self):
         """Guards against the loss of hosts to jobs that fail by themselves."""
         world = HealthWorld()
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -81,6 +81,7 @@
 )
 from egretcrank.scheduling.table import JobTable, StoredValue
 from egretcrank.scheduling.tasks import Job
+from egretcrank.settings.platform import BoundSettings
 from egretcrank.settings.schema import ClusterSettings
 from egretcrank.stream import client
 from egretcrank.stream.records import (
@@ -194,6 +195,7 @@
     controller: Any = Controller.__new__(Controller)
     controller._lock = threading.Condition()
     controller._cell = None
+    controller._settings = Mock(bounds=BoundSettings())
     controller._metrics = Metrics()
     controller._table = JobTable()
     controller._service = Mock(catalog=EMPTY_CATALOG)
--- a/tests/test_tail.py
+++ b/tests/test_tail.py
@@ -1,6 +1,7 @@
 """Tests of the reads of a log partition: their pauses and what they prove."""
 
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
 from unittest.mock import patch
@@ -35,6 +36,44 @@
         return Success(LogPage(offset + 1, (StoredValue(offset, "k", b"v"),)))
 
 
+class _ExpiredStore:
+    """Log whose history has expired, so that each read begins anew."""
+
+    def __init__(self, pages: list[LogPage], on_last: Callable[[], None]) -> None:
+        self._pages = pages
+        self._on_last = on_last
+
+    def read_newest(self, _topic: str, _partition: int) -> Any:
+        if len(self._pages) == 1:
+            self._on_last()
+        return Success(self._pages.pop(0))
+
+    def read(self, *_: Any) -> Any:
+        return Failure(Problem(ErrorKind.NOT_FOUND, "expired"))
+
+
+class NewestRecordsTests(AsyncTestCase):
+    """Compacted reads, which show by absence what was deleted."""
+
+    def test_only_a_complete_read_replaces_what_is_known(self):
+        """Guards against keys that count as deleted, as a row could not be read."""
+        record = (StoredValue(0, "k", b"v"),)
+        pages = [LogPage(1, record), LogPage(2, (), is_complete=False), LogPage(3, ())]
+        seen: list[tuple[str, Any]] = []
+        store: Any = _ExpiredStore(pages, lambda: tail.stop())
+        tail = Tail(
+            store,
+            "t",
+            0,
+            ManualClock(),
+            lambda records: seen.append(("records", records)),
+            lambda records: seen.append(("newest", records)),
+        )
+        with patch.object(tail_module, "FOLLOWER_READ_PAUSE", timedelta()):
+            tail.run()
+        self.assertEqual(seen, [("newest", record), ("newest", ())])
+
+
 class PauseTests(AsyncTestCase):
     """Reads of a log to which a leader appends continuously."""
 
