--- a/src/egretcrank/scheduling/planner.py
+++ b/src/egretcrank/scheduling/planner.py
@@ -126,7 +126,7 @@
                 continue
             if max_free.may_fit(step.definition) and not self._place(step, usable):
                 max_free = find_max_free(usable)
-            if avoided and step.waiting:
+            if avoided and step.waiting and include_best_effort:
                 self._place_on_avoided(step, usable, avoided, all_usable)
 
     def _test_hosts(
@@ -153,18 +153,21 @@
         Otherwise it would wait for all of a quarantine. Further tasks wait for the end
         of this one, as the host may fail it.
         """
+        left = [host for host in avoided if not self.health.has_trial(host.name)]
+        if not left or step.job.active_runs:
+            return
         service = self._find_queue(step.job).service
+        best = Ranking(step, service, left, self._pressures).best
         pool = [h for h in all_usable if h.runner and h.runner.service == service]
-        if not self._is_starved(step.job, pool):
+        if (
+            best is None
+            or any(is_eligible(step, service, host) for host in usable)
+            or not self._is_starved(step.job, pool)
+        ):
             return
-        if any(is_eligible(step, service, host) for host in usable):
-            return
-        left = [host for host in avoided if not self.health.has_trial(host.name)]
-        best = Ranking(step, service, left, self._pressures).best
         for index in list_unsuspected(step)[:1]:
-            if best is not None:
-                self._start(step, index, best.host)
-                self.health.begin_trial(self._runs[step.get_task_key(index)])
+            self._start(step, index, best.host)
+            self.health.begin_trial(self._runs[step.get_task_key(index)])
 
     def _find_test_task(self, step: StepState, host: HostState) -> int | None:
         """Return a task for which a failure on the host would not be the last one."""
