--- a/review/parts/installation.py
+++ b/review/parts/installation.py
@@ -256,12 +256,12 @@
     def stop(self) -> None:
         """End all processes and stand-ins that were started here."""
         for daemon in (*self.controllers, *self.agents):
-            daemon.send(signal.SIGCONT)
             daemon.kill()
+        with self._record_lock:
+            self._record_file.close()
         for runner in self.runners:
             runner.crash()
         self.store.stop()
-        self._record_file.close()
         keep = os.environ.get("CASE_LOGS")
         if keep:
             target = Path(keep)
--- a/review/parts/runner.py
+++ b/review/parts/runner.py
@@ -67,15 +67,11 @@
         zone: str,
         labels: list[str],
         record: Record,
-        on_start: Callable[["Runner", str, int], None] | None = None,
     ) -> None:
         self.name, self.address, self.control = name, address, control
         self.service, self.zone, self.labels = service, zone, labels
         self.cpu, self.memory = 16000, 64000
         self.record = record
-        self.on_start = on_start
-        # Whether everything that starts fails at once (``srv_grey``, errors).
-        self.fails_all = False
         self.lock = threading.RLock()
         self.life: Life | None = None
         self._server: _Server | None = None
@@ -218,13 +214,9 @@
         now = time.monotonic()
         # Longer than any day: lasts until it is stopped.
         ends_at = now + (seconds or 1e6)
-        if self.fails_all:
-            ends_at = now + 0.05
-        life.running[task] = {"run": run, "ends_at": ends_at, "fails": self.fails_all}
+        life.running[task] = {"run": run, "ends_at": ends_at}
         self.starts.append((now, task, run, body["spec"]))
         self.record(f"runner {self.name} starts {task} run {run}")
-        if self.on_start is not None:
-            self.on_start(self, task, run)
         return 200, {"clock_ms": clock}
 
     def _stop(self, life: Life, body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
@@ -243,12 +235,7 @@
         has_lapsed = life.read_clock() >= life.deadline
         for task, run in list(life.running.items()):
             if run["ends_at"] <= now:
-                how = "done"
-                if run["fails"]:
-                    how = "failed"
-                if run.get("stopped"):
-                    how = "stopped"
-                self._end(life, task, how)
+                self._end(life, task, "stopped" if run.get("stopped") else "done")
             elif has_lapsed:
                 self._end(life, task, "lapsed")
 
