--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,7 @@
-"""The progress of a job with many times outgrows a record, and all work stops."""
+"""Another writer reports a service that no manifest names; runners are lost."""
 
+import secrets
+import threading
 import time
 from pathlib import Path
 
@@ -11,16 +13,17 @@
     has_trouble,
     run_case,
 )
+from review.parts.runner import HEARTBEAT_SECONDS, Runner, put_report
 
 RECORD = Path(__file__).with_name("record.txt")
-TIMED_PREFIX = "/delegate/"
 PREFIX = "/lookups/"
 AGENTS = 6
-# The machine of the kind that the steps of the timed job require.
-SPECIAL = 5
-STEPS = 20
-TIMES = 4000
-INTERVAL_SECONDS = 300
+# No manifest names it.
+OTHER_SERVICE = "ledger-archive"
+# The other writer reports as often as a runner, by a timer of its own. It begins so
+# long after a report of the runner beside it.
+OTHER_DELAY_SECONDS = 0.02
+WARM_UP_SECONDS = 4.0
 JOBS = 12
 JOB_INTERVAL_SECONDS = 1.0
 # After the end of the traffic, and how long a job may then have nothing running.
@@ -30,48 +33,76 @@
     "spec": '{"seconds": 1.0}',
     "steps": [{"count": 4, "cpu": 240, "mem_mb": 480, "estimated_ms": 1000}],
 }
+ROUTE = {
+    "name": "whois-lookup",
+    "host": HOST,
+    "path_prefix": PREFIX,
+    "service": SERVICE,
+    "priority": 0,
+    "max_attempts": 4,
+    "stretch": 1.5,
+    "target_latency_ms": 250,
+}
+
+
+class OtherWriter:
+    """A process on a side machine that reports itself, of another service."""
+
+    def __init__(self, installation: Installation, runner: Runner) -> None:
+        self._installation, self._runner = installation, runner
+        self._name = f"i-{secrets.token_hex(4)}"
+        self._born = int(time.time() * 1000)
+        self._is_stopped = False
 
+    def start(self) -> None:
+        """Begin to report."""
+        self._installation.record(
+            f"another writer {self._name} of service {OTHER_SERVICE} reports beside "
+            f"runner {self._runner.name}, born {self._born}"
+        )
+        threading.Thread(target=self._run, daemon=True).start()
 
-def build_timed_job() -> dict[str, object]:
-    """Return a job of a chain of steps, whose times are all due."""
-    step = {
-        "count": 1,
-        "cpu": 3200,
-        "mem_mb": 6400,
-        "estimated_ms": 1000,
-        "requirements": "b",
-    }
-    steps = [step | ({"depends_on": [n - 1]} if n else {}) for n in range(STEPS)]
-    first = time.time() - TIMES * INTERVAL_SECONDS
-    return {
-        "spec": '{"seconds": 1.0}',
-        "steps": steps,
-        "repetitions": TIMES,
-        "first_run_ms": int(first * 1000),
-        "interval_ms": INTERVAL_SECONDS * 1000,
-    }
-
-
-def build_route(name: str, prefix: str, priority: int) -> dict[str, object]:
-    """Return a route of the manifest."""
-    return {
-        "name": name,
-        "host": HOST,
-        "path_prefix": prefix,
-        "service": SERVICE,
-        "priority": priority,
-        "max_attempts": 4,
-        "stretch": 2.0,
-        "target_latency_ms": 1000,
-    }
+    def stop(self) -> None:
+        """Report no more."""
+        self._is_stopped = True
+
+    def _run(self) -> None:
+        sequence = 0
+        self._runner.heartbeat_sent.wait()
+        time.sleep(OTHER_DELAY_SECONDS)
+        while not self._is_stopped:
+            sequence += 1
+            report = {
+                "service": OTHER_SERVICE,
+                "address": self._runner.address,
+                "zone": self._runner.zone,
+                "version": "v1",
+                "slots": 1,
+                "state": "ready",
+                "cold_remaining_ms": 0,
+                "capacity": {"cpu": 1000, "mem_mb": 1000, "gpu": 0},
+                "labels": self._runner.labels,
+                "clock_ms": 1500 * sequence,
+                "born": self._born,
+                "sequence": sequence,
+            }
+            status = put_report(self._runner.control, self._name, report)
+            if sequence <= 3:
+                self._installation.record(
+                    f"another writer {self._name} reports, sequence {sequence} -> "
+                    f"{status}"
+                )
+            time.sleep(HEARTBEAT_SECONDS)
 
 
 def play(installation: Installation) -> str:
     """Play the case and return what was broken, or an empty string."""
     installation.start()
-    time.sleep(4.0)
+    time.sleep(WARM_UP_SECONDS)
     if has_trouble():
-        installation.submit(TIMED_PREFIX, build_timed_job())
+        for runner in installation.runners:
+            runner.heartbeat_sent.clear()
+            OtherWriter(installation, runner).start()
         time.sleep(2.0)
     jobs = []
     for number in range(JOBS):
@@ -79,11 +110,10 @@
         time.sleep(JOB_INTERVAL_SECONDS)
     installation.record("the traffic ends")
     time.sleep(FINISH_SECONDS)
-    installation.record(f"appends refused as too long: {installation.store.refused}")
     idle_since: dict[str, float] = {}
     until = time.monotonic() + 2 * IDLE_SECONDS
     while time.monotonic() < until:
-        for job_id in list(jobs):
+        for job_id in jobs:
             if is_at_work(installation, job_id):
                 idle_since.pop(job_id, None)
                 continue
@@ -93,22 +123,17 @@
             state = installation.get_state(PREFIX, job_id)
             if state == "completed":
                 jobs.remove(job_id)
-                continue
+                break
             started = sum(
                 task.startswith(job_id)
                 for runner in installation.runners
                 for _, task, _, _ in runner.starts
             )
-            in_use = sum(
-                len(runner.life.running)
-                for runner in installation.runners
-                if runner.life
-            )
             return (
                 f"LOST: {FINISH_SECONDS} s after the end of the traffic job {job_id} "
                 f"is {state or 'not known'} and has nothing running for "
-                f"{IDLE_SECONDS} s; {started} starts of its 4 tasks so far; {in_use} "
-                f"tasks run on all {AGENTS} runners"
+                f"{IDLE_SECONDS} s; {started} starts so far, all runners are up and "
+                f"nearly empty"
             )
         time.sleep(0.05)
     for job_id in jobs:
@@ -129,11 +154,7 @@
 
 def main() -> None:
     """Run the case."""
-    routes = [
-        build_route("whois-lookup", PREFIX, 0),
-        build_route("rdns-delegate", TIMED_PREFIX, 2),
-    ]
-    installation = Installation(RECORD, 3, AGENTS, {SPECIAL: "b"}, routes)
+    installation = Installation(RECORD, 3, AGENTS, {}, [ROUTE])
     run_case(installation, play)
 
 
