Believe a runner's reports only once their process has answered

Cause: an agent took any valid report with a later birth for that of its runner's next process, whatever its id. It then named that id in all calls, so that the real runner refused them (421), and its reports to the leader named no runner, until the runner reported again. The process that could disprove the claim was only asked under the wrong name.

Ruled out: that the service of the report is what matters (tests with a known service failed as well), and that the leader takes the writer's service for the host's (its report names no runner).

Change: agent/identity.py keeps reports as claims and uses those of the process that answered the last poll. A poll after one without an answer names no id, as it renews and acknowledges nothing; a refused one is repeated so at once. An id that the runner refuses is dropped. The same class on related paths: an announced end and an unregistration of another writer, a former id that polls kept naming, and the description of the next process before its first answer, which starts were checked against. A start has one process now, that of its description, so StartPermit loses a field. Ignored reports are counted and logged once a second.

test_odd_entries set state.born, which is a property now; it applies a reply with that birth instead and checks the same.

--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -45,6 +45,7 @@
     HostOrders,
     LeaderMoved,
     LeaderStatus,
+    RunnerInfo,
     get_capacity,
     is_use_changed,
 )
@@ -58,6 +59,8 @@
 # an append to the log. The delay avoids polling in a busy loop meanwhile.
 POLL_DELAY_AFTER_END = timedelta(milliseconds=100)
 HEARTBEAT_THREADS = 2
+# Another writer may send heartbeats without end.
+IGNORED_LOG_INTERVAL = timedelta(seconds=1)
 # The main thread handles signals between two waits of this length.
 SIGNAL_CHECK_INTERVAL = timedelta(milliseconds=200)
 
@@ -82,6 +85,8 @@
         self._pace_adjusted_at = timedelta()
         self._token = FencingToken(int(clock.now().timestamp() * 1000))
         self._runner_unreachable = False
+        # When the last ignored heartbeat was logged.
+        self._ignored_logged_at: timedelta | None = None
         self._report_due = threading.Event()
         self._stopping = threading.Event()
         self._leader: LeaderMoved | None = None
@@ -151,18 +156,10 @@
         with self._lock:
             known = self._state.runner
             is_new = self._state.update_runner(heartbeat.runner, heartbeat.sequence)
-            if is_new:
-                self._runner.instance = heartbeat.runner.runner_id
+            self._runner.instance = self._state.runner_id
             changed = known is None or is_use_changed(known, heartbeat.runner)
         if not is_new:
-            logger.info(
-                "old heartbeat ignored",
-                extra={
-                    "runner": heartbeat.runner.runner_id,
-                    "born": heartbeat.runner.born,
-                    "sequence": heartbeat.sequence,
-                },
-            )
+            self._log_ignored(heartbeat, known)
         elif changed:
             logger.info(
                 "runner state changed",
@@ -175,12 +172,40 @@
             )
             self._report_due.set()
 
+    def _log_ignored(self, heartbeat: Heartbeat, known: RunnerInfo | None) -> None:
+        """Count an ignored heartbeat, and log one of each interval."""
+        runner = heartbeat.runner
+        is_old = (
+            known is not None
+            and known.runner_id == runner.runner_id
+            and known.born == runner.born
+        )
+        reason = "old" if is_old else "other_process"
+        self._metrics.heartbeats_ignored.inc({"reason": reason})
+        now = self._clock.boottime()
+        logged_at = self._ignored_logged_at
+        if logged_at is not None and now - logged_at < IGNORED_LOG_INTERVAL:
+            return
+        self._ignored_logged_at = now
+        logger.info(
+            "old heartbeat ignored" if is_old else "heartbeat of another process",
+            extra={
+                "runner": runner.runner_id,
+                "born": runner.born,
+                "sequence": heartbeat.sequence,
+                "service": runner.service,
+                "runner_known": known.runner_id if known else "",
+                "born_known": known.born if known else 0,
+            },
+        )
+
     def _handle_runner_left(self, runner_id: str) -> None:
         with self._lock:
             known = self._state.runner
             self._state.mark_runner_left(runner_id)
+            is_left = self._state.runner_left
         logger.info(
-            "runner left",
+            "runner left" if is_left else "unregistration ignored",
             extra={"runner": runner_id, "born": known.born if known else 0},
         )
         self._report_due.set()
@@ -209,9 +234,10 @@
             deadline = self._state.compute_lease_deadline(self._clock.boottime())
             token = self._token.value
             acknowledged = self._state.acknowledged_ends
+            instance = self._state.expected_instance
             poll = self._state.begin_poll()
             sent_at = self._clock.boottime()
-        match self._runner.poll(deadline, token, acknowledged, wait):
+        match self._runner.poll(deadline, token, acknowledged, wait, instance):
             case Success(snapshot):
                 self._metrics.count_runner_call("look", None)
                 self._log_reachability("")
@@ -226,6 +252,11 @@
                     elapsed = self._clock.boottime() - sent_at
                     timed_out = elapsed >= wait + POLL_MARGIN
                     self._handle_unanswered_poll(problem, poll, timed_out)
+                    if instance and problem.kind is ErrorKind.WRONG_INCARNATION:
+                        with self._lock:
+                            self._state.refuse_instance(instance, poll)
+                        # Any process may answer the next poll.
+                        return self._poll_runner(timedelta())
         return False
 
     def _handle_unanswered_poll(
@@ -255,6 +286,7 @@
     def _apply_snapshot(self, snapshot: RunnerSnapshot, poll: int) -> None:
         with self._lock:
             changed = self._state.apply_snapshot(snapshot, self._clock.boottime(), poll)
+            self._runner.instance = self._state.runner_id
             paces = self._adjust_pace()
             crashes = self._state.take_crashes()
         for crash in crashes:
--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -125,7 +125,7 @@
                     pass
             self._metrics.order_wait_seconds.add({}, waited.total_seconds())
             started = self._runner.start(
-                waiting.order, permit.deadline, token, permit.process
+                waiting.order, permit.deadline, token, permit.born
             )
             duration = self._clock.boottime() - now
             self._metrics.runner_seconds.add({}, duration.total_seconds())
--- a/src/egretcrank/agent/starts.py
+++ b/src/egretcrank/agent/starts.py
@@ -26,11 +26,9 @@
 class StartPermit(NamedTuple):
     """Permission to send a start now.
 
-    ``deadline`` is the end of the lease on the clock of the runner process ``born``.
-    The start is meant for ``process`` alone, the one whose description was checked. It
-    differs from ``born`` until the first reply of that process.
+    The start is meant for the runner process ``born`` alone, whose description was
+    checked. ``deadline`` is the end of the lease on its clock.
     """
 
     deadline: int
     born: int
-    process: int
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.agent.crashes import Crash, CrashWatch, format_runs
+from egretcrank.agent.identity import RunnerIdentity
 from egretcrank.agent.limits import StartLimits
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.rooms import RoomLedger, fits
@@ -93,18 +94,13 @@
         self.applied = 0
         self.authority_until = timedelta()
         self.leader_heard_at: timedelta | None = None
-        self.runner: RunnerInfo | None = None
-        # Sequence number of the heartbeat that ``runner`` is from. It grows until the
-        # runner restarts.
-        self._heartbeat_sequence = -1
+        self._runner_identity = RunnerIdentity()
         self.has_snapshot = False
         # Whether each run of the runner process was listed, or is known by its start. A
         # list that omits ends does not show this to an agent that has just started.
         self._knows_all_runs = False
-        self.runner_left = False
         # When the runner had last replied before it left.
         self._replied_before_leaving_at = timedelta()
-        self.born = 0
         self.durable_ends = 0
         self._seen_ends = 0
         self._sequence = 0
@@ -159,29 +155,46 @@
 
     # Runner
 
+    @property
+    def born(self) -> int:
+        """Birth of the runner process that replied last, 0 before the first reply."""
+        return self._runner_identity.born
+
+    @property
+    def runner(self) -> RunnerInfo | None:
+        """Newest description of the runner, only a claim before the first reply."""
+        return self._runner_identity.runner
+
+    @property
+    def runner_left(self) -> bool:
+        """Whether the runner has unregistered."""
+        return self._runner_identity.has_left
+
+    @property
+    def runner_id(self) -> str:
+        """Id of the runner process that replied last, empty if it is not known."""
+        return self._runner_identity.runner_id
+
+    @property
+    def expected_instance(self) -> str:
+        """Id that the next poll names, empty if any process may answer.
+
+        A poll after one without an answer renews and acknowledges nothing, and asks
+        which process is the runner by now.
+        """
+        return self.runner_id if self._last_poll_answered else ""
+
     def update_runner(self, runner: RunnerInfo, sequence: int) -> bool:
-        """Apply the runner's description from a heartbeat and return whether it is new.
+        """Apply a heartbeat and return whether it is a new description of the runner.
 
         A network partition may delay heartbeats. One that was sent before the runner
         began to drain, left or restarted is ignored, as it would bring an unusable
         runner back into use.
         """
-        if runner.born < self.born:
-            return False
-        known = self.runner
-        # If the time of day went back, a restarted runner is born before the former
-        # one. Polls are ordered, so the process that replied last is the current one.
-        is_replaced = known is not None and known.born != self.born == runner.born
-        if known is not None and not is_replaced:
-            if (runner.born, sequence) <= (known.born, self._heartbeat_sequence):
-                return False
-            if self.runner_left and runner.born == known.born:
-                return False
-        self.runner = runner
-        self._crash_watch.mark_draining(runner.born, runner.draining)
-        self._heartbeat_sequence = sequence
-        self.runner_left = False
-        return True
+        is_new = self._runner_identity.add_report(runner, sequence, self._polls_sent)
+        if is_new:
+            self._crash_watch.mark_draining(runner.born, runner.draining)
+        return is_new
 
     def mark_runner_left(self, runner_id: str) -> None:
         """Record that the runner has left, unless another one is known by now.
@@ -189,9 +202,9 @@
         The unregistration names no process, so it may be a delayed one of a former
         process under the same id. It is no proof that runs have ended.
         """
-        if self.runner is not None and self.runner.runner_id == runner_id:
-            self.runner_left = True
-            self._crash_watch.mark_left(self.runner.born)
+        runner = self.runner
+        if runner is not None and self._runner_identity.mark_left(runner_id):
+            self._crash_watch.mark_left(runner.born)
             if self._clock_base is not None:
                 self._replied_before_leaving_at = self._clock_base[1]
 
@@ -219,7 +232,6 @@
             if self.born or age < self._lease_bound:
                 self._excess_until = received_at + self._lease_bound
             self._reset_runner_state()
-            self.born = snapshot.born
             changed = True
         elif self._clock_base is not None and snapshot.clock < self._clock_base[0]:
             # One of the two clocks is odd, and leases may have been set by it.
@@ -228,6 +240,7 @@
                 "clock of the runner went back",
                 extra={"clock_before": self._clock_base[0], "clock": snapshot.clock},
             )
+        self._confirm_process(snapshot, poll)
         self.has_snapshot = True
         self._last_poll_answered = poll > self._unanswered_poll
         self._polls_at_reply = self._polls_sent
@@ -256,6 +269,12 @@
         self._crash_watch.mark_replied(listed, in_progress, received_at)
         return self._add_ends(snapshot) or changed
 
+    def _confirm_process(self, snapshot: RunnerSnapshot, poll: int) -> None:
+        self._runner_identity.confirm_process(snapshot.born, poll)
+        runner = self._runner_identity.described
+        if runner is not None:
+            self._crash_watch.mark_draining(runner.born, runner.draining)
+
     def _update_completeness(self, snapshot: RunnerSnapshot) -> None:
         """Note whether a list shows that all runs of the runner process are known."""
         if self._knows_all_runs:
@@ -354,7 +373,7 @@
             or replied_at - self._replied_before_leaving_at < LEAVE_TIMEOUT
         ):
             return False
-        self.runner_left = False
+        self._runner_identity.mark_staying()
         logger.warning(
             "runner replies after it has left; a former process left",
             extra={"born": self.born},
@@ -476,10 +495,15 @@
         not time out. Returns whether there are new crash suspects.
         """
         self.mark_failed(now)
+        self._runner_identity.mark_unanswered(poll)
         self._unanswered_poll = max(self._unanswered_poll, poll)
         self._last_poll_answered = False
         return is_broken and self._suspect_early(now)
 
+    def refuse_instance(self, runner_id: str, poll: int) -> None:
+        """Record that poll number ``poll`` named an id that is not the runner's."""
+        self._runner_identity.refuse_name(runner_id, poll)
+
     def _suspect_early(self, now: timedelta) -> bool:
         """Name the crash suspects of a runner whose connections break."""
         runs = {*self._running, *self._started, *self._starting}
@@ -626,7 +650,10 @@
             return Failure(WITHDRAWN)
         if self._limits.is_outdated(now) or self._limits.is_order_missing(self.applied):
             return Failure(OUTDATED)
-        if self.runner is None or self.runner.draining:
+        runner = self._runner_identity.described
+        if runner is None:
+            return Failure(UNSUITABLE)
+        if runner.draining:
             return Failure("draining")
         if not self._is_runner_suitable(waiting.requirement):
             return Failure(UNSUITABLE)
@@ -636,29 +663,15 @@
         if not self.reserve_start(run):
             return Failure(NO_ROOM)
         self.mark_sent(run, now)
-        return Success(StartPermit(deadline, self.born, self._find_start_process()))
-
-    def _find_start_process(self) -> int:
-        """Return the runner process that permitted starts are meant for."""
-        runner = self._find_described_runner()
-        return runner.born if runner is not None else self.born
+        return Success(StartPermit(deadline, self.born))
 
     def _is_runner_suitable(self, requirement: RunnerRequirement | None) -> bool:
         """Return whether the runner, as it is now, meets the requirement of a start."""
         if requirement is None:
             return True
-        runner = self._find_described_runner()
+        runner = self._runner_identity.described
         return runner is not None and is_suitable(runner, *requirement)
 
-    def _find_described_runner(self) -> RunnerInfo | None:
-        """Return the description of the runner, unless it is of a former process.
-
-        That of the next process may arrive before the reply to a poll of it.
-        """
-        if self.runner is None or self.runner.born < self.born:
-            return None
-        return self.runner
-
     def mark_sent(self, run: Run, now: timedelta) -> None:
         """Record that a start is about to be sent to the runner."""
         self._crash_watch.mark_sent(run, now)
@@ -687,7 +700,7 @@
         if not self._are_demands_sent:
             return True
         load = self._rooms.add_up(self._list_held_runs())
-        runner = self._find_described_runner()
+        runner = self._runner_identity.described
         if runner is not None and fits(load, runner):
             return True
         self._rooms.release(run)
@@ -827,8 +840,13 @@
         return run in self._running and run not in self._stops
 
     def _has_consistent_runner(self) -> bool:
-        """Return whether the last heartbeat and poll are of the same runner process."""
-        return self.runner is not None and self.runner.born == self.born
+        """Return whether the process that replied last is described and goes on.
+
+        It may have ended while calls fail and another process has reported.
+        """
+        identity = self._runner_identity
+        is_in_doubt = identity.has_claimant and not self._last_poll_answered
+        return identity.described is not None and not is_in_doubt
 
     def confirm_report(self, message: HostOrders) -> None:
         """Record that the leader has received a report."""
--- a/src/egretcrank/observability/metrics.py
+++ b/src/egretcrank/observability/metrics.py
@@ -206,6 +206,12 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self._registry,
         )
+        self.heartbeats_ignored = Counter(
+            "egretcrank_heartbeats_ignored_total",
+            "Heartbeats that do not describe the runner by reason (old or"
+            " other_process).",
+            registry=self._registry,
+        )
         self.runner_crashes = Counter(
             "egretcrank_runner_crashes_total",
             "Crashes of the runner by whether runs are suspects (yes or no).",
--- a/src/egretcrank/platform/runner.py
+++ b/src/egretcrank/platform/runner.py
@@ -101,7 +101,7 @@
     def __init__(self, address: str) -> None:
         self._client = HttpClient(address, MAX_CONNECTIONS)
         self._command_client = HttpClient(address, MAX_CONNECTIONS)
-        # Expected runner instance; another instance at the address rejects the calls.
+        # Instance that commands expect; another one at the address rejects them.
         self.instance = ""
 
     def start(
@@ -125,7 +125,9 @@
         if order.ticket:
             body["ticket"] = order.ticket
         with require_process(process):
-            response = self._post(self._client, "/-/run-start", body, CALL_TIMEOUT)
+            response = self._post(
+                self._client, "/-/run-start", body, CALL_TIMEOUT, self.instance
+            )
         return response.bind(_parse_command_result)
 
     def stop(self, task: str, run: int, token: int) -> Result[CommandResult, Problem]:
@@ -143,32 +145,46 @@
     def _command(
         self, url: str, body: dict[str, Any]
     ) -> Result[CommandResult, Problem]:
-        response = self._post(self._command_client, url, body, CALL_TIMEOUT)
+        response = self._post(
+            self._command_client, url, body, CALL_TIMEOUT, self.instance
+        )
         return response.bind(_parse_command_result)
 
     def poll(
-        self, deadline: int | None, token: int, acknowledged: int, wait: timedelta
+        self,
+        deadline: int | None,
+        token: int,
+        acknowledged: int,
+        wait: timedelta,
+        instance: str = "",
     ) -> Result[RunnerSnapshot, Problem]:
         """List running and ended tasks, waiting up to ``wait`` for a task to end.
 
         ``deadline`` extends the lease of all tasks on the runner. The runner discards
-        ended tasks up to number ``acknowledged``.
+        ended tasks up to number ``acknowledged``. Fails as ``wrong_incarnation`` if
+        another instance than ``instance`` answers; any may if that is empty.
         """
         body: dict[str, Any] = {"fencing_token": token, "last_seen": acknowledged}
         if deadline is not None:
             body["deadline_ms"] = deadline
         if wait:
             body["wait_ms"] = int(wait / timedelta(milliseconds=1))
-        response = self._post(self._client, "/-/hold", body, wait + POLL_MARGIN)
+        timeout = wait + POLL_MARGIN
+        response = self._post(self._client, "/-/hold", body, timeout, instance)
         snapshot = response.bind(_parse_snapshot)
         if isinstance(snapshot, Success):
             identify_process(snapshot.unwrap().born)
         return snapshot
 
     def _post(
-        self, client: HttpClient, url: str, body: dict[str, Any], timeout: timedelta
+        self,
+        client: HttpClient,
+        url: str,
+        body: dict[str, Any],
+        timeout: timedelta,
+        instance: str,
     ) -> Result[Response, Problem]:
-        headers = {INSTANCE_HEADER: self.instance} if self.instance else {}
+        headers = {INSTANCE_HEADER: instance} if instance else {}
         data = msgspec.json.encode(body)
         return client.call("POST", url, data, timeout, headers)
 
@@ -208,6 +224,10 @@
                 "runner",
             )
         )
+    if response.status == 421:
+        return Failure(
+            Problem(ErrorKind.WRONG_INCARNATION, "another instance answers", "runner")
+        )
     if response.status != 200:
         return Failure(
             Problem(
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -43,7 +43,7 @@
 )
 from egretcrank.platform.ingress import Ingress
 from egretcrank.platform.manifest import CONFIGURATION_KEY, parse_manifest
-from egretcrank.platform.runner import Runner
+from egretcrank.platform.runner import Runner, RunnerSnapshot
 from egretcrank.platform.store import (
     MAX_GENERATION,
     MAX_SLOTS,
@@ -317,7 +317,8 @@
         self.assertEqual(self.put(msgspec.json.encode(body)), "200 OK")
         state = AgentState(Identity("h", "h:1", "i"))
         state.update_runner(self.heartbeats[0].runner, self.heartbeats[0].sequence)
-        state.born = MAX_INTEGER
+        reply = RunnerSnapshot(1, MAX_INTEGER, (), ())
+        state.apply_snapshot(reply, timedelta(), state.begin_poll())
         report = state.build_report(timedelta(), PaceController())
         self.assertIsNotNone(report.runner)
         self.assertTrue(HOSTING_CODEC.encode(report, "", "h"))
