Order runner processes by no time of day

The first report of the next process, which mostly comes before its first reply, was dropped, and the host was out of use until the second one, 1.5 s later. A late reply of the former process, beside one of the next process, brought the former one back and made its runs suspects.

Evidence: two of the three new tests failed before, with 'r1' is not None and 'r1' != 'r2' (the runner that the agent reports).

Change: a report with any other birth is kept as a claim; of concurrent replies only those of the current process count. This is enough as only a reply decides by now, and the next poll is not concurrent.

--- a/src/egretcrank/agent/identity.py
+++ b/src/egretcrank/agent/identity.py
@@ -90,7 +90,7 @@
         """Add a report and return whether it is a new description of the runner."""
         key = ProcessKey(runner.runner_id, runner.born)
         known = self._reports.get(key)
-        if runner.born < self.born or (known and sequence <= known.sequence):
+        if known is not None and sequence <= known.sequence:
             return False
         if key == self._left or self._is_false(key):
             return False
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -356,14 +356,12 @@
         """Return whether a reply is older than the one applied last.
 
         Replies to concurrent polls may overtake each other. Those of one runner process
-        are ordered by its clock.
+        are ordered by its clock. Births are not, as the time of day may go back: the
+        next poll tells which process is the current one.
         """
-        if self._clock_base is None:
+        if self._clock_base is None or poll > self._polls_at_reply:
             return False
-        concurrent = poll <= self._polls_at_reply
-        if snapshot.born != self.born:
-            return concurrent and snapshot.born < self.born
-        return concurrent and snapshot.clock <= self._clock_base[0]
+        return snapshot.born != self.born or snapshot.clock <= self._clock_base[0]
 
     def _recheck_leaving(self, replied_at: timedelta) -> bool:
         """Return whether a runner that was said to have left turns out to go on."""
--- a/src/egretcrank/wire/hosting.py
+++ b/src/egretcrank/wire/hosting.py
@@ -105,8 +105,8 @@
 class RunnerInfo(NamedTuple):
     """Description of a runner by itself.
 
-    ``born`` identifies the runner process and increases with each restart. ``cpu`` is
-    in millicores.
+    ``born`` identifies the runner process, and may be lower than that of the process
+    before, as the time of day may go back. ``cpu`` is in millicores.
     """
 
     runner_id: str
--- a/tests/test_runner_identity.py
+++ b/tests/test_runner_identity.py
@@ -238,6 +238,36 @@
             self.assertTrue(self.poll())
             self.assertEqual(self.find_reported_id(), self.process.runner_id)
 
+    def test_a_process_that_is_born_before_the_former_one_is_used(self):
+        """Guards against a runner that is lost as the time of day went back.
+
+        Case 7 of the review; each process has an id of its own.
+        """
+        self.replace_process("r2", BORN - 5000)
+        self.assertTrue(self.poll())
+        self.hear_runner()
+        self.assertEqual(self.find_reported_id(), "r2")
+        self.assertTrue(self.poll())
+        self.assertEqual(self.process.named[-1], "r2")
+
+    def test_the_first_report_of_a_process_that_is_born_earlier_is_kept(self):
+        """Guards against a wait for the second report after the clock went back."""
+        self.replace_process("r2", BORN - 5000)
+        self.hear_runner()
+        self.assertIsNone(self.find_reported_id())
+        self.assertTrue(self.poll())
+        self.assertEqual(self.find_reported_id(), "r2")
+
+    def test_a_late_reply_of_a_former_process_that_is_born_later_brings_none_back(self):
+        """Guards against a crash that never was, by a reply that came out of turn."""
+        former = self.state.begin_poll()
+        self.replace_process("r2", BORN - 5000)
+        self.hear_runner()
+        self.assertTrue(self.poll())
+        late = RunnerSnapshot(9000, BORN, (), ())
+        self.state.apply_snapshot(late, self.clock.boottime(), former)
+        self.assertEqual(self.find_reported_id(), "r2")
+
     def test_a_late_report_of_a_former_process_describes_no_runner(self):
         """Guards against a description that a partition has held up."""
         self.replace_process("r2", BORN + 5000)
