--- a/src/egretcrank/agent/daemon.py
+++ b/src/egretcrank/agent/daemon.py
@@ -12,6 +12,7 @@
 from returns.result import Failure, Success
 
 from egretcrank.agent.execution import POLL_DELAY_AFTER_FAILURE, OrderExecutor
+from egretcrank.agent.ignored_heartbeats import IgnoredHeartbeats
 from egretcrank.agent.pace import MEASUREMENT_INTERVAL, PaceChange, PaceController
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.agent.tokens import FencingToken
@@ -45,7 +46,6 @@
     HostOrders,
     LeaderMoved,
     LeaderStatus,
-    RunnerInfo,
     get_capacity,
     is_use_changed,
 )
@@ -59,8 +59,6 @@
 # an append to the log. The delay avoids polling in a busy loop meanwhile.
 POLL_DELAY_AFTER_END = timedelta(milliseconds=100)
 HEARTBEAT_THREADS = 2
-# Another writer may send heartbeats without end.
-IGNORED_LOG_INTERVAL = timedelta(seconds=1)
 # The main thread handles signals between two waits of this length.
 SIGNAL_CHECK_INTERVAL = timedelta(milliseconds=200)
 
@@ -85,8 +83,7 @@
         self._pace_adjusted_at = timedelta()
         self._token = FencingToken(int(clock.now().timestamp() * 1000))
         self._runner_unreachable = False
-        # When the last ignored heartbeat was logged.
-        self._ignored_logged_at: timedelta | None = None
+        self._ignored = IgnoredHeartbeats(clock, self._metrics)
         self._report_due = threading.Event()
         self._stopping = threading.Event()
         self._leader: LeaderMoved | None = None
@@ -159,7 +156,7 @@
             self._runner.instance = self._state.runner_id
             changed = known is None or is_use_changed(known, heartbeat.runner)
         if not is_new:
-            self._log_ignored(heartbeat, known)
+            self._ignored.note(heartbeat, known)
         elif changed:
             logger.info(
                 "runner state changed",
@@ -172,33 +169,6 @@
             )
             self._report_due.set()
 
-    def _log_ignored(self, heartbeat: Heartbeat, known: RunnerInfo | None) -> None:
-        """Count an ignored heartbeat, and log one of each interval."""
-        runner = heartbeat.runner
-        is_old = (
-            known is not None
-            and known.runner_id == runner.runner_id
-            and known.born == runner.born
-        )
-        reason = "old" if is_old else "other_process"
-        self._metrics.heartbeats_ignored.inc({"reason": reason})
-        now = self._clock.boottime()
-        logged_at = self._ignored_logged_at
-        if logged_at is not None and now - logged_at < IGNORED_LOG_INTERVAL:
-            return
-        self._ignored_logged_at = now
-        logger.info(
-            "old heartbeat ignored" if is_old else "heartbeat of another process",
-            extra={
-                "runner": runner.runner_id,
-                "born": runner.born,
-                "sequence": heartbeat.sequence,
-                "service": runner.service,
-                "runner_known": known.runner_id if known else "",
-                "born_known": known.born if known else 0,
-            },
-        )
-
     def _handle_runner_left(self, runner_id: str) -> None:
         with self._lock:
             known = self._state.runner
--- a/tests/test_runner_identity.py
+++ b/tests/test_runner_identity.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from egretcrank.agent.daemon import Agent
+from egretcrank.agent.ignored_heartbeats import IgnoredHeartbeats
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.agent.tokens import FencingToken
@@ -77,7 +78,7 @@
         agent._pace_adjusted_at = timedelta()
         agent._token = FencingToken(1)
         agent._runner_unreachable = False
-        agent._ignored_logged_at = None
+        agent._ignored = IgnoredHeartbeats(self.clock, agent._metrics)
         agent._report_due = threading.Event()
         agent._executor = cast(Any, self)
         agent._runner = cast(Any, self.process)
