Write the progress of wide jobs in parts

Cause: all progress of a job was one record, and all changes one append, without a bound. The log refuses a record over 262,144 bytes for good, and the committer repeated it unchanged, before everything else.

Evidence: the record of 12,000 tasks with checkpoints of 16 characters takes 298,886 bytes on the code before.

Change: progress over 192 KiB is written in parts of 64 tasks, those that have changed, before the other record of the job, which is left without steps. Checkpoints that a part has no room for stay off the log. Appends are divided at 1.5 MiB, and the changes are durable after the last one. An append that is refused for its size is halved; a single record is left out, and a job whose progress it is ends as failed. Parts are deleted before their job.

--- a/src/egretcrank/controller/committer.py
+++ b/src/egretcrank/controller/committer.py
@@ -3,19 +3,21 @@
 import logging
 import threading
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 from typing import NamedTuple
 
 from returns.result import Failure, Success
 
 from egretcrank.clock import Clock
+from egretcrank.controller.batches import Entry, divide_entries, halve
 from egretcrank.controller.election import Appender
 from egretcrank.errors.kinds import ErrorKind
 from egretcrank.observability.metrics import Metrics
 from egretcrank.platform.store import encode_keyed
 from egretcrank.scheduling.cell import Cell
 from egretcrank.scheduling.changes import Changes
+from egretcrank.scheduling.records import PROGRESS_KINDS, LogChange
 
 # Leases are granted relative to the last confirmation of the leadership, so this
 # interval shortens them by at most half a second.
@@ -23,8 +25,7 @@
 # Pause between two appends, during which records of the next batch are collected. It
 # delays a caller's record by half of that on average.
 BATCH_INTERVAL = timedelta(milliseconds=25)
-# Limit on the callers' records in one append. The platform accepts 2 MiB per append,
-# including the leader's own records.
+# Limit on the callers' records that are taken at a time.
 MAX_BATCH_BYTES = 1024 * 1024
 RETRY_DELAY = timedelta(milliseconds=100)
 # An append that takes longer indicates that the log is unavailable or slow.
@@ -44,6 +45,10 @@
     on_result: Callable[[bool], None]
 
 
+# Reason of the end of a job whose progress the log refuses.
+TOO_LARGE = "its progress is too large for the log"
+
+
 class Committer:
     """Appends records for one epoch on its own thread until it is fenced or stopped.
 
@@ -85,7 +90,7 @@
         self._submissions.append(submission)
         self.wake()
         if self._is_finished:
-            self._fail_submissions(())
+            self._fail_submissions()
 
     @property
     def is_accepting(self) -> bool:
@@ -105,14 +110,15 @@
             submissions = self._take_batch()
             with self._lock:
                 changes = self._cell.take_changes()
-            if self._append(changes, submissions):
-                for submission in submissions:
-                    submission.on_result(True)
-            else:
-                self._fail_submissions(submissions)
+            entries = [Entry(s.record, on_result=s.on_result) for s in submissions]
+            records = [Entry(_encode(c), key=c.key) for c in changes.records]
+            if not self._append([*entries, *records], changes):
+                for entry in entries:
+                    entry.resolve(False)
+                self._fail_submissions()
             if not self._is_finished:
                 threading.Event().wait(BATCH_INTERVAL.total_seconds())
-        self._fail_submissions(())
+        self._fail_submissions()
 
     @property
     def _is_finished(self) -> bool:
@@ -130,20 +136,28 @@
             self._wake_event.set()
         return batch
 
-    def _fail_submissions(self, submissions: Iterable[Submission]) -> None:
-        """Report to these and all queued callers that their records may be lost."""
-        for submission in submissions:
-            submission.on_result(False)
+    def _fail_submissions(self) -> None:
+        """Report to all queued callers that their records may be lost."""
         while self._submissions:
             self._submissions.popleft().on_result(False)
 
-    def _append(self, changes: Changes, submissions: Iterable[Submission]) -> bool:
+    def _append(self, entries: Iterable[Entry], changes: Changes) -> bool:
+        """Append all records; return False if fenced or stopped.
+
+        The changes are durable once all of them are stored. Each append confirms the
+        leadership, so that many records outlast no lease.
+        """
+        for batch in divide_entries(entries):
+            if not self._append_batch(batch):
+                return False
+        with self._lock:
+            self._cell.mark_durable(changes)
+            self._on_change()
+        return True
+
+    def _append_batch(self, batch: Sequence[Entry]) -> bool:
         """Retry an append until it succeeds; return False if fenced or stopped."""
-        records = [
-            encode_keyed(change.key.format(), change.value)
-            for change in changes.records
-        ]
-        records += [submission.record for submission in submissions]
+        records = [entry.record for entry in batch]
         started_at = self._append_started_at = self._clock.boottime()
         while not self._stopped:
             match self._appender.append(records):
@@ -152,9 +166,9 @@
                     self._append_started_at = None
                     self._metrics.append_seconds.add({}, elapsed.total_seconds())
                     with self._lock:
-                        self._cell.mark_durable(changes)
                         self._cell.confirm(appended.end, self._appender.confirmed_at)
-                        self._on_change()
+                    for entry in batch:
+                        entry.resolve(True)
                     return True
                 case Failure(problem):
                     logger.warning(
@@ -167,10 +181,38 @@
                     if problem.kind is ErrorKind.STALE_EPOCH:
                         self.fenced = True
                         return False
+                    if problem.kind is ErrorKind.BODY_TOO_LARGE and batch:
+                        return self._append_refused(batch)
             threading.Event().wait(RETRY_DELAY.total_seconds())
         return False
 
+    def _append_refused(self, batch: Sequence[Entry]) -> bool:
+        """Append refused records apart, except one that is too large by itself.
+
+        The log would refuse the same append for good, and get nothing else.
+        """
+        if len(batch) > 1:
+            return all(self._append_batch(half) for half in halve(batch))
+        (entry,) = batch
+        logger.error(
+            "record is too large for the log",
+            extra={
+                "key": entry.key.format() if entry.key else "",
+                "bytes": len(entry.record),
+            },
+        )
+        entry.resolve(False)
+        if entry.key is None or entry.key.kind not in PROGRESS_KINDS:
+            return True
+        with self._lock:
+            end = self._cell.give_up_job(entry.key.job_id, TOO_LARGE)
+        return end is None or self._append_batch([Entry(_encode(end))])
+
     def stop(self) -> None:
         """Stop after the attempt to append that is in progress."""
         self._stopped = True
         self._wake_event.set()
+
+
+def _encode(change: LogChange) -> bytes:
+    return encode_keyed(change.key.format(), change.value)
--- a/src/egretcrank/controller/daemon.py
+++ b/src/egretcrank/controller/daemon.py
@@ -68,6 +68,7 @@
 # Kinds of records that only a leader writes.
 LEADER_RECORD_KINDS = (
     RecordKind.PROGRESS,
+    RecordKind.PART,
     RecordKind.HOST,
     RecordKind.LEADER,
     RecordKind.PRESSURES,
--- a/src/egretcrank/platform/store.py
+++ b/src/egretcrank/platform/store.py
@@ -157,8 +157,8 @@
     """Client for the platform's log.
 
     Failures are ``log_unavailable`` (the request had no effect), ``call_timeout`` (it
-    may have had one), ``stale_epoch``, ``wrong_sequence`` and ``not_found`` (the
-    records have expired).
+    may have had one), ``stale_epoch``, ``wrong_sequence``, ``not_found`` (the records
+    have expired) and ``body_too_large`` (the request can never succeed).
     """
 
     def __init__(self, address: str) -> None:
@@ -302,11 +302,13 @@
     if response.status == 200:
         return Success(response)
     detail = f"unexpected status {response.status}"
-    kind = (
-        ErrorKind.LOG_UNAVAILABLE
-        if response.status in (429, 503, 507)
-        else ErrorKind.INVALID_MESSAGE
-    )
+    match response.status:
+        case 429 | 503 | 507:
+            kind = ErrorKind.LOG_UNAVAILABLE
+        case 413:
+            kind = ErrorKind.BODY_TOO_LARGE
+        case _:
+            kind = ErrorKind.INVALID_MESSAGE
     return Failure(
         Problem(kind, detail, "store", response.body[:200].decode("latin-1"))
     )
--- a/src/egretcrank/scheduling/backlog.py
+++ b/src/egretcrank/scheduling/backlog.py
@@ -16,7 +16,9 @@
 from egretcrank.observability.metrics import Metrics
 from egretcrank.policy.retries import compute_retry_after
 from egretcrank.scheduling.definitions import MAX_OBJECTIVE, JobDefinition, Step
+from egretcrank.scheduling.progress import Parts
 from egretcrank.scheduling.records import (
+    PROGRESS_KINDS,
     Phase,
     ProgressRecord,
     RecordKey,
@@ -46,7 +48,7 @@
 # Demands beside the labels.
 ACCELERATORS = " accelerators"
 BEST_EFFORT = " best effort"
-OBSERVED_KINDS = (RecordKind.JOB, RecordKind.CANCELLATION, RecordKind.PROGRESS)
+OBSERVED_KINDS = (RecordKind.JOB, RecordKind.CANCELLATION, *PROGRESS_KINDS)
 
 
 class Refusal(NamedTuple):
@@ -116,7 +118,9 @@
         self.work = 0.0
         self.update(None)
 
-    def update(self, progress: ProgressRecord | None) -> float:
+    def update(
+        self, progress: ProgressRecord | None, parts: Parts | None = None
+    ) -> float:
         """Apply progress and return the work done since the last update."""
         steps = self._definition.steps
         records: list[StepRecord] = []
@@ -125,7 +129,12 @@
             records = progress.occurrences.get(0, records)
         lefts = [step.width for step in steps]
         for number, record in zip(range(len(lefts)), records, strict=False):
-            lefts[number] -= _count_done(record)
+            lefts[number] -= record.count_done()
+        if parts is not None:
+            lefts = [
+                min(n, left)
+                for n, left in zip(lefts, parts.count_left(steps), strict=True)
+            ]
         work = sum(
             max(0, left) * _compute_work(step)
             for step, left in zip(steps, lefts, strict=True)
@@ -201,9 +210,9 @@
             return
         now = self._clock.boottime()
         with self._lock:
-            if key.kind is RecordKind.PROGRESS:
+            if key.kind in PROGRESS_KINDS:
                 self._note_progress(now)
-            self._update_job(key.name, table.jobs.get(key.name), now)
+            self._update_job(key.job_id, table.jobs.get(key.job_id), now)
 
     def _note_progress(self, now: timedelta) -> None:
         """Measure anew after a pause, whose records come at once when it ends."""
@@ -227,11 +236,11 @@
             if not _is_finite(entry.definition):
                 return
             job = self._jobs[job_id] = _OpenJob(entry.definition)
-            job.update(entry.progress)
+            job.update(entry.progress, entry.parts)
             self._change_open_work(job, job.work)
             return
         before = job.work
-        done = job.update(entry.progress)
+        done = job.update(entry.progress, entry.parts)
         self._change_open_work(job, job.work - before)
         self._record_work(job, done, now)
 
@@ -389,7 +398,3 @@
 def _compute_work(step: Step) -> float:
     """Return the core-seconds of one task of a step."""
     return step.cpu / 1000 * step.estimate.total_seconds()
-
-
-def _count_done(record: StepRecord) -> int:
-    return int.from_bytes(record.done, "little").bit_count()
--- a/src/egretcrank/scheduling/cell.py
+++ b/src/egretcrank/scheduling/cell.py
@@ -28,7 +28,8 @@
 from egretcrank.scheduling.outbox import EMPTY_BATCH
 from egretcrank.scheduling.placement import is_eligible
 from egretcrank.scheduling.planner import Planner, build_profile
-from egretcrank.scheduling.records import Phase
+from egretcrank.scheduling.progress import build_changes, restore_progress
+from egretcrank.scheduling.records import LogChange, Phase
 from egretcrank.scheduling.requirements import list_requirements
 from egretcrank.scheduling.runs import GONE, HOST_LOST, RUNNER_RESTARTED, Runs
 from egretcrank.scheduling.settings import CellSettings
@@ -164,6 +165,7 @@
                 self._open_jobs.pop(job_id, None)
         for job_id in self._table.list_orphaned_crashes():
             self._changes.mark_orphaned_crashes(job_id)
+        self._changes.mark_expired_parts(self._table.list_orphaned_parts())
         self._pressures.restore(self._table.pressures)
         self._pressures_stored_at = self._clock.boottime()
         self._check_takeover()
@@ -206,14 +208,8 @@
             extra={"epoch": self.epoch, "missing_hosts": [h.name for h in missing]},
         )
         if missing:
-            self._skip_unlogged_runs()
-
-    def _skip_unlogged_runs(self) -> None:
-        for job in self._open_jobs.values():
-            for steps in job.occurrences.values():
-                for step in steps:
-                    for index in step.waiting:
-                        step.tasks[index].highest_run += RUN_NUMBER_GAP
+            for job in self._open_jobs.values():
+                job.skip_runs(RUN_NUMBER_GAP)
 
     # Jobs
 
@@ -254,8 +250,7 @@
         assert entry.definition is not None
         job = Job(entry.definition, entry.offset)
         self.jobs[job_id] = job
-        if entry.progress is not None:
-            job.restore(entry.progress)
+        restore_progress(job, entry.progress, entry.parts)
         if not job.phase.final:
             self._open_jobs[job_id] = job
             self._highest_offset = max(self._highest_offset, job.offset)
@@ -317,6 +312,15 @@
                     if placement is not None:
                         self._runs.stop(placement)
 
+    def give_up_job(self, job_id: str, reason: str) -> LogChange | None:
+        """End a job whose progress cannot be stored; return the record of its end."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            return None
+        if not job.phase.final:
+            self._end_job(job, Phase.FAILED, reason)
+        return build_changes(job)[0]
+
     # Reports
 
     def apply_report(self, report: HostReport) -> None:
@@ -337,7 +341,7 @@
             return
         host.sent_at = report.sent_at
         host.reported_at = now
-        if _is_restarted(host, report) and not report.full:
+        if host.is_restarted_by(report) and not report.full:
             return
         if not host.attached:
             self._begin_session(host)
@@ -433,7 +437,7 @@
         runner = report.runner
         if runner is None:
             return
-        if _is_restarted(host, report):
+        if host.is_restarted_by(report):
             logger.info(
                 "runner restarted",
                 extra={"host": host.name, "born": runner.born},
@@ -487,11 +491,8 @@
 
         It was restarted since, or is lost together with its runner.
         """
-        born = host.runner.born if host.runner else 0
         placements = [self._runs[key] for key in host.tasks]
-        ordered = [p for p in placements if p.phase is RunPhase.ORDERED]
-        for placement in ordered:
-            self._crashes.record_unknown(placement, born, len(ordered))
+        self._crashes.record_unconfirmed(host, placements)
 
     def _reconcile_runs(self, host: HostState, report: HostReport) -> None:
         reported: set[tuple[str, int]] = set()
@@ -552,6 +553,7 @@
         track_speed(placement, running, self._clock.boottime())
         if running.checkpoint and running.checkpoint != task.checkpoint:
             task.checkpoint = running.checkpoint
+            placement.step.mark_changed(placement.task.position)
             self._changes.mark_checkpoint(job.job_id)
 
     def _find_or_adopt(self, host: HostState, running: RunningTask) -> Placement | None:
@@ -665,6 +667,7 @@
         if ended.run > task.ended_run:
             task.ended_run = ended.run
             task.highest_run = max(task.highest_run, ended.run)
+        step.mark_changed(index)
         self._changes.mark_job(job.job_id)
 
     def _check_completion(self, job: Job, step: StepState, task: Task) -> None:
@@ -753,6 +756,8 @@
                 entry = self._table.find(job_id)
                 if entry is not None and entry.crashes is not None:
                     self._changes.mark_orphaned_crashes(job_id)
+                if entry is not None and entry.parts is not None:
+                    self._changes.mark_expired_parts(entry.parts.records)
                 self._changes.mark_expired(job_id)
 
     def _expire_cancellations(self, now: timedelta) -> None:
@@ -887,12 +892,3 @@
             host = self.hosts.get(name)
             if host is not None and not self._changes.is_removal_due(name):
                 host.registered = True
-
-
-def _is_restarted(host: HostState, report: HostReport) -> bool:
-    known = host.runner
-    return (
-        known is not None
-        and report.runner is not None
-        and known.born != report.runner.born
-    )
--- a/src/egretcrank/scheduling/changes.py
+++ b/src/egretcrank/scheduling/changes.py
@@ -1,14 +1,17 @@
 """Changes of a cell that have to be appended to the log."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import timedelta
 from typing import NamedTuple
 
 from egretcrank.scheduling.definitions import TaskKey
 from egretcrank.scheduling.hosts import HostState
+from egretcrank.scheduling.progress import build_changes, build_deletions
 from egretcrank.scheduling.records import (
     CANCELLATION_VALUE,
     HostRecord,
+    LogChange,
+    PartKey,
     PressuresRecord,
     RecordKey,
     RecordKind,
@@ -24,13 +27,6 @@
 JOB_KINDS = (RecordKind.JOB, RecordKind.CANCELLATION, RecordKind.PROGRESS)
 
 
-class LogChange(NamedTuple):
-    """A record to append; an empty value deletes the key."""
-
-    key: RecordKey
-    value: bytes
-
-
 class Changes(NamedTuple):
     """Records to append together, and the state that is durable with them.
 
@@ -55,6 +51,7 @@
         # True for a host to register, False for a host to remove.
         self._hosts: dict[str, bool] = {}
         self._expired: list[str] = []
+        self._expired_parts: list[PartKey] = []
         self._checkpointed: set[str] = set()
         self._pressures: tuple[Pressure, ...] = ()
         self._crashes: list[TaskKey] = []
@@ -68,6 +65,7 @@
             self._jobs
             or self._hosts
             or self._expired
+            or self._expired_parts
             or self._pressures
             or self._crashes
             or self._orphaned_crashes
@@ -110,6 +108,10 @@
         """Record that all records of a job are to be deleted."""
         self._expired.append(job_id)
 
+    def mark_expired_parts(self, keys: Iterable[PartKey]) -> None:
+        """Record that parts of a job's progress are to be deleted."""
+        self._expired_parts += keys
+
     def flush_checkpoints(self, now: timedelta) -> None:
         """Schedule the collected checkpoints for the log once per interval.
 
@@ -123,12 +125,10 @@
     def take(self, jobs: Mapping[str, Job], hosts: Mapping[str, HostState]) -> Changes:
         """Return the collected changes and reset the collector."""
         records = [
-            LogChange(
-                RecordKey(RecordKind.PROGRESS, job_id),
-                encode_record(jobs[job_id].build_record()),
-            )
+            change
             for job_id in sorted(self._jobs)
             if job_id in jobs
+            for change in build_changes(jobs[job_id])
         ]
         registered = []
         for name, present in self._hosts.items():
@@ -137,6 +137,8 @@
                 value = encode_record(HostRecord(hosts[name].address))
                 registered.append(name)
             records.append(LogChange(RecordKey(RecordKind.HOST, name), value))
+        # Before the records of their job, without which nobody would delete them.
+        records += build_deletions(self._expired_parts)
         for job_id in self._expired:
             records += [LogChange(RecordKey(kind, job_id), b"") for kind in JOB_KINDS]
         for job_id in sorted({key.job_id for key in self._crashes}):
@@ -157,6 +159,7 @@
         self._jobs.clear()
         self._hosts.clear()
         self._expired.clear()
+        self._expired_parts.clear()
         crashes = tuple(self._crashes)
         self._crashes.clear()
         self._orphaned_crashes.clear()
--- a/src/egretcrank/scheduling/crashes.py
+++ b/src/egretcrank/scheduling/crashes.py
@@ -1,7 +1,7 @@
 """Record of the runs that may have crashed their runners, on the leading controller."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from datetime import UTC, datetime, timedelta
 
 from egretcrank.clock import Clock
@@ -18,7 +18,7 @@
 from egretcrank.scheduling.definitions import TaskKey, parse_task_key
 from egretcrank.scheduling.hosts import HostState
 from egretcrank.scheduling.records import CrashesRecord
-from egretcrank.scheduling.tasks import Job, Placement, StepState, Task
+from egretcrank.scheduling.tasks import Job, Placement, RunPhase, StepState, Task
 from egretcrank.wire.hosting import CrashSuspect
 
 # Crashes of one task that are kept, the latest ones.
@@ -142,11 +142,19 @@
             self.retract(step, index, (host.name, born))
             self._follow_up(step, index)
 
-    def record_unknown(self, placement: Placement, born: int, candidates: int) -> None:
-        """Record a run that may have crashed a runner, of which no agent tells.
+    def record_unconfirmed(
+        self, host: HostState, placements: Iterable[Placement]
+    ) -> None:
+        """Record the runs that may have crashed a runner, of which no agent tells.
 
-        It is one of ``candidates`` such runs.
+        These are the ones of a host that were ordered and are not known to have begun.
         """
+        born = host.runner.born if host.runner else 0
+        ordered = [p for p in placements if p.phase is RunPhase.ORDERED]
+        for placement in ordered:
+            self._record_unknown(placement, born, len(ordered))
+
+    def _record_unknown(self, placement: Placement, born: int, candidates: int) -> None:
         crash = Crash(
             placement.run,
             placement.host,
--- a/src/egretcrank/scheduling/hosts.py
+++ b/src/egretcrank/scheduling/hosts.py
@@ -182,6 +182,14 @@
             self.incarnation,
         )
 
+    def is_restarted_by(self, report: HostReport) -> bool:
+        """Return whether a report describes another runner process than before."""
+        return (
+            self.runner is not None
+            and report.runner is not None
+            and self.runner.born != report.runner.born
+        )
+
     def offer_session(self, incarnation: str, session: int) -> None:
         """Offer a session to an agent process; those before it are void."""
         self.incarnation = incarnation
--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -12,7 +12,10 @@
 
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.policy.crashes import MAX_TIMESTAMP, Crash
-from egretcrank.scheduling.definitions import JobDefinition
+from egretcrank.scheduling.definitions import (
+    MAX_INDEX_DIGITS,
+    JobDefinition,
+)
 from egretcrank.wire.bounds import Count, Integer
 from egretcrank.wire.hosting import Pressure
 from egretcrank.wire.nesting import DECODE_ERRORS
@@ -31,6 +34,7 @@
     LEADER = "l"
     PRESSURES = "i"
     CRASHES = "x"
+    PART = "t"
 
 
 class Phase(StrEnum):
@@ -66,6 +70,20 @@
     done: bytes = b""
     tasks: dict[int, TaskRecord] = {}
 
+    def count_done(self) -> int:
+        """Return the number of done tasks."""
+        return int.from_bytes(self.done, "little").bit_count()
+
+    def drop_checkpoints(self, limit: int) -> "StepRecord":
+        """Return the record without the checkpoints of over ``limit`` characters."""
+        tasks = {
+            index: task
+            if len(task.checkpoint) <= limit
+            else task._replace(checkpoint="")
+            for index, task in self.tasks.items()
+        }
+        return self._replace(tasks=tasks)
+
 
 class ProgressRecord(NamedTuple):
     """Progress of a job; ``ended_at`` is in seconds since 1970, 0 until it ends."""
@@ -75,6 +93,19 @@
     occurrences: dict[int, list[StepRecord]] = {}
 
 
+class PartKey(NamedTuple):
+    """A group of neighbouring tasks of one step of one occurrence."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    number: int
+
+    def format(self) -> str:
+        """Return the name of the part in a record's key."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.number}"
+
+
 class HostRecord(NamedTuple):
     """A host that may run tasks of the cell."""
 
@@ -113,8 +144,22 @@
         """Return the key in its stored form."""
         return f"{self.kind}/{self.name}"
 
+    @property
+    def job_id(self) -> str:
+        """Return the job that the record is of, if it is of one."""
+        return self.name.partition(".")[0]
+
+
+class LogChange(NamedTuple):
+    """A record to append; an empty value deletes the key."""
+
+    key: RecordKey
+    value: bytes
+
 
 CANCELLATION_VALUE = b"1"
+# Kinds of the records that hold the progress of a job.
+PROGRESS_KINDS = (RecordKind.PROGRESS, RecordKind.PART)
 
 Record = (
     JobDefinition
@@ -123,6 +168,7 @@
     | LeaderRecord
     | PressuresRecord
     | CrashesRecord
+    | StepRecord
 )
 
 _encoder = msgspec.msgpack.Encoder()
@@ -133,6 +179,7 @@
     RecordKind.LEADER: msgspec.msgpack.Decoder(LeaderRecord),
     RecordKind.PRESSURES: msgspec.msgpack.Decoder(PressuresRecord),
     RecordKind.CRASHES: msgspec.msgpack.Decoder(CrashesRecord),
+    RecordKind.PART: msgspec.msgpack.Decoder(StepRecord),
 }
 
 
@@ -144,6 +191,16 @@
     return RecordKey(RecordKind(kind), name)
 
 
+def parse_part_key(name: str) -> PartKey | None:
+    """Parse the name of a part; return ``None`` if it is malformed."""
+    fields = name.split(".")
+    if len(fields) != 4 or not all(
+        field.isdecimal() and len(field) <= MAX_INDEX_DIGITS for field in fields[1:]
+    ):
+        return None
+    return PartKey(fields[0], *map(int, fields[1:]))
+
+
 def encode_record(record: Record) -> bytes:
     """Encode the value of a record."""
     return _encoder.encode(record)
--- a/src/egretcrank/scheduling/table.py
+++ b/src/egretcrank/scheduling/table.py
@@ -9,17 +9,21 @@
 
 from egretcrank.policy.pressures import is_plausible
 from egretcrank.scheduling.definitions import JobDefinition, find_defect
+from egretcrank.scheduling.progress import Parts, is_part_of
 from egretcrank.scheduling.records import (
     CrashesRecord,
     HostRecord,
     LeaderRecord,
+    PartKey,
     Phase,
     PressuresRecord,
     ProgressRecord,
     RecordKey,
     RecordKind,
+    StepRecord,
     decode_record,
     parse_key,
+    parse_part_key,
 )
 from egretcrank.wire.bounds import is_address
 from egretcrank.wire.hosting import Pressure
@@ -49,7 +53,7 @@
 class JobEntry:
     """State of a job according to the log."""
 
-    __slots__ = ("cancelled", "crashes", "definition", "offset", "progress")
+    __slots__ = ("cancelled", "crashes", "definition", "offset", "parts", "progress")
 
     def __init__(self) -> None:
         self.definition: JobDefinition | None = None
@@ -57,6 +61,8 @@
         self.cancelled = False
         self.progress: ProgressRecord | None = None
         self.crashes: CrashesRecord | None = None
+        # Progress that is newer than that of ``progress``, of a divided job.
+        self.parts: Parts | None = None
 
     @property
     def phase(self) -> Phase:
@@ -131,6 +137,14 @@
                 crash.is_plausible for crashes in tasks.values() for crash in crashes
             ):
                 self._find(key.name).crashes = record
+            case Success(StepRecord() as record):
+                part = parse_part_key(key.name)
+                if part is None:
+                    self._refuse(stored, "key names no part of a job")
+                    return False
+                entry = self._find(part.job_id)
+                entry.parts = entry.parts or Parts()
+                entry.parts.put(part, record)
             case Success(HostRecord(address) as host) if is_address(address):
                 self.hosts[key.name] = host
             case Success(LeaderRecord(_, address) as leader) if is_address(address):
@@ -160,11 +174,28 @@
             case RecordKind.CRASHES:
                 if key.name in self.jobs:
                     self.jobs[key.name].crashes = None
+            case RecordKind.PART:
+                self._drop_part(key)
             case RecordKind.HOST:
                 self.hosts.pop(key.name, None)
             case RecordKind.PRESSURES:
                 self.pressures = ()
 
+    def _drop_part(self, key: RecordKey) -> None:
+        entry, part = self.jobs.get(key.job_id), parse_part_key(key.name)
+        if entry is not None and entry.parts is not None and part is not None:
+            entry.parts.drop(part)
+            if not entry.parts.records:
+                entry.parts = None
+                self._drop_if_empty(key.job_id)
+
+    def _drop_if_empty(self, job_id: str) -> None:
+        """Drop the entry of a job of which no record is left."""
+        entry = self.jobs[job_id]
+        left = (entry.definition, entry.progress, entry.crashes, entry.parts)
+        if not entry.cancelled and left == (None, None, None, None):
+            del self.jobs[job_id]
+
     def _drop_job(self, job_id: str, offset: int) -> None:
         """Drop all records of an expired job, up to the deletion of one of them.
 
@@ -177,9 +208,12 @@
             for kind in JOB_RECORD_KINDS
             if self._offsets.get(RecordKey(kind, job_id).format(), -1) > offset
         }
-        if entry is None or not newer:
+        parts = entry.parts if entry is not None else None
+        if entry is None or not (newer or parts):
             return
         kept = self._find(job_id)
+        # A part has a deletion of its own.
+        kept.parts = parts
         if RecordKind.JOB in newer:
             kept.definition, kept.offset = entry.definition, entry.offset
         if RecordKind.PROGRESS in newer:
@@ -198,8 +232,7 @@
         if entry is None or entry.definition is not None:
             return
         entry.cancelled = False
-        if entry.progress is None and entry.crashes is None:
-            del self.jobs[job_id]
+        self._drop_if_empty(job_id)
 
     def _refuse(self, stored: StoredValue, reason: str) -> None:
         self.refused += 1
@@ -240,6 +273,19 @@
             if entry.crashes is not None and entry.definition is None
         ]
 
+    def list_orphaned_parts(self) -> list[PartKey]:
+        """Return the parts of jobs that have no other record, or not their tasks.
+
+        An earlier release, which does not know these records, deletes the others only.
+        """
+        return [
+            key
+            for entry in self.jobs.values()
+            if entry.parts is not None
+            for key in entry.parts.records
+            if entry.definition is None or not is_part_of(key, entry.definition)
+        ]
+
     def list_expired(self, before: datetime) -> list[str]:
         """Return the identifiers of the jobs that ended before a time."""
         limit = before.timestamp()
--- a/src/egretcrank/scheduling/tasks.py
+++ b/src/egretcrank/scheduling/tasks.py
@@ -28,6 +28,10 @@
 # Failures of a task that are restored where the log has only their number, as each of
 # them takes memory.
 MAX_RESTORED_FAILURES = 10_000
+# Failed runs of a task that are named on the log. Of more, it has only the number.
+MAX_NAMED_FAILURES = 256
+# Neighbouring tasks of a step whose progress is one record, if the job is divided.
+PART_TASKS = 64
 
 
 class RunPhase(StrEnum):
@@ -143,6 +147,8 @@
         self.spread: dict[str, int] = {}
         # Tasks that may have crashed a runner and have not proven harmless since.
         self.suspects: set[int] = set()
+        # Parts whose progress has changed since they were last built for the log.
+        self.changed_parts: set[int] = set()
 
     @property
     def complete(self) -> bool:
@@ -160,11 +166,17 @@
             task.done = True
             self.done_count += 1
             self.waiting.discard(index)
+            self.mark_changed(index)
 
-    def restore(self, record: StepRecord) -> None:
-        """Load the progress that is stored on the log."""
-        for index, task_record in record.tasks.items():
-            if 0 <= index < len(self.tasks):
+    def mark_changed(self, index: int) -> None:
+        """Record that the progress of a task has changed."""
+        self.changed_parts.add(index // PART_TASKS)
+
+    def restore(self, record: StepRecord, first: int = 0) -> None:
+        """Load progress that is stored on the log, of the tasks from ``first`` on."""
+        for position, task_record in record.tasks.items():
+            index = first + position
+            if position >= 0 and index < len(self.tasks):
                 task = self.tasks[index]
                 task.highest_run = task_record.highest_run
                 task.ended_run = task_record.ended_run
@@ -174,26 +186,32 @@
                     range(-min(task_record.failures, MAX_RESTORED_FAILURES), 0)
                 )
                 task.checkpoint = task_record.checkpoint
-        for index in range(min(len(self.tasks), len(record.done) * 8)):
-            if record.done[index // 8] & (1 << (index % 8)):
-                self.mark_done(index)
+        for position in range(min(len(self.tasks) - first, len(record.done) * 8)):
+            if record.done[position // 8] & (1 << (position % 8)):
+                self.mark_done(first + position)
 
     def build_record(self) -> StepRecord:
         """Return the progress as a record for the log."""
-        bits = bytearray((len(self.tasks) + 7) // 8)
-        exceptions: dict[int, TaskRecord] = {}
-        for index, task in enumerate(self.tasks):
-            if task.done:
-                bits[index // 8] |= 1 << (index % 8)
-            elif task.ended_run or task.checkpoint:
-                exceptions[index] = TaskRecord(
-                    task.highest_run,
-                    task.ended_run,
-                    task.failures,
-                    task.checkpoint,
-                    tuple(sorted(task.failed_runs)),
-                )
-        return StepRecord(bytes(bits).rstrip(b"\0"), exceptions)
+        return build_step_record(self.tasks)
+
+
+def build_step_record(tasks: list[Task]) -> StepRecord:
+    """Return the progress of tasks, numbered from 0, as a record for the log."""
+    bits = bytearray((len(tasks) + 7) // 8)
+    exceptions: dict[int, TaskRecord] = {}
+    for index, task in enumerate(tasks):
+        if task.done:
+            bits[index // 8] |= 1 << (index % 8)
+        elif task.ended_run or task.checkpoint:
+            is_named = task.failures <= MAX_NAMED_FAILURES
+            exceptions[index] = TaskRecord(
+                task.highest_run,
+                task.ended_run,
+                task.failures,
+                task.checkpoint,
+                tuple(sorted(task.failed_runs)) if is_named else (),
+            )
+    return StepRecord(bytes(bits).rstrip(b"\0"), exceptions)
 
 
 class Job:
@@ -214,6 +232,8 @@
         self.crashed_processes: set[tuple[str, int]] = set()
         # Trials that its tasks have passed since a runner last crashed under it.
         self.passed_trials = 0
+        # Whether its progress is on the log in parts.
+        self.is_divided = False
         self._critical_path = find_critical_path(
             definition.steps, [step.estimate for step in definition.steps]
         )
@@ -271,6 +291,13 @@
             step.complete for steps in self.occurrences.values() for step in steps
         )
 
+    def skip_runs(self, count: int) -> None:
+        """Leave out run numbers of waiting tasks, which may be in use."""
+        for steps in self.occurrences.values():
+            for step in steps:
+                for index in step.waiting:
+                    step.tasks[index].highest_run += count
+
     @property
     def started(self) -> bool:
         """Return whether a task has begun or may be about to.
