Keep the specifications of a message until its orders are applied

Cause: the agent put all specifications of a message into a cache of 512 before it applied the first order, which lacked its own then. It applied no order, and the leader repeated the message for good.

Evidence: the new test (1,536 jobs in one message) fails with the cache trimmed before the orders are applied, and passes with this change.

Change: the cache is trimmed after the orders of a message.

--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -3,7 +3,7 @@
 import logging
 import math
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from datetime import timedelta
 from typing import NamedTuple
 
@@ -14,6 +14,7 @@
 from egretcrank.agent.limits import StartLimits
 from egretcrank.agent.pace import PaceController
 from egretcrank.agent.rooms import RoomLedger, fits
+from egretcrank.agent.specs import SpecCache
 from egretcrank.agent.starts import StartPermit, WaitingStart
 from egretcrank.agent.stops import StopList
 from egretcrank.platform.runner import RunnerSnapshot
@@ -54,9 +55,6 @@
 LEAVE_TIMEOUT = timedelta(seconds=2)
 # Time that the runner takes to kill its runs after their lease has expired.
 KILL_MARGIN = timedelta(milliseconds=500)
-# Jobs whose specification is cached: twice as many as a leader assumes to be cached
-# here. They take at most 2 MB.
-MAX_CACHED_SPECS = 512
 # Time before the end of the authority at which runs are stopped that may outlast it.
 STOP_MARGIN = timedelta(seconds=1)
 DEFAULT_BOUNDS = BoundSettings()
@@ -142,8 +140,7 @@
         # Whether the leader sends the demands of tasks. Room is not checked for one of
         # the previous release, which sends none.
         self._are_demands_sent = False
-        # Specifications by job, the most recently received one last.
-        self._specs: OrderedDict[str, str] = OrderedDict()
+        self._specs = SpecCache()
         # Measurements as averaged by the runner, and its clock then in milliseconds.
         self.raw_measurements: dict[Run, float] = {}
         self._snapshot_clock = 0
@@ -576,12 +573,12 @@
         self._are_demands_sent = message.demands is not None
         self._rooms.learn(message.demands or {})
         new = []
-        self._cache_specs(message.specs)
+        self._specs.add(message.specs)
         for order in message.orders:
             if order.number != self.applied + 1:
                 continue
             if order.start is not None:
-                spec = self._specs.get(find_job(order.start.task))
+                spec = self._specs.find(find_job(order.start.task))
                 if spec is None:
                     # The order stays unconfirmed, so the leader sends it again together
                     # with the specification.
@@ -597,6 +594,7 @@
                 self._withdraw(Run(order.stop.task, order.stop.run))
             self.applied = order.number
             new.append(order)
+        self._specs.trim()
         return new
 
     def _withdraw(self, run: Run) -> None:
@@ -606,13 +604,6 @@
             return
         self._stops.add(run)
 
-    def _cache_specs(self, specs: Mapping[str, str]) -> None:
-        for job, spec in specs.items():
-            self._specs[job] = spec
-            self._specs.move_to_end(job)
-        while len(self._specs) > MAX_CACHED_SPECS:
-            self._specs.popitem(last=False)
-
     @property
     def waiting_starts(self) -> int:
         """Number of starts that wait for ``take_start``."""
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -3,6 +3,7 @@
 import itertools
 from datetime import timedelta
 
+from egretcrank.agent.specs import MAX_CACHED_SPECS, SpecCache
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.scheduling.outbox import (
     MAX_KNOWN_SPECS,
@@ -119,13 +120,30 @@
         self.assertEqual(self._deliver(agent, again), [SPEC, SPEC])
         self.assertEqual(agent.applied, 2)
 
+    def test_more_specifications_than_an_agent_keeps_are_applied_at_once(self):
+        """Guards against a host that starts nothing after a loss of all controllers.
+
+        Case 3 of the review: the specifications of one message pushed each other out of
+        the agent's cache, each time that the message was sent.
+        """
+        outbox, agent = Outbox(), AgentState(Identity("h", "h:1", "i"))
+        jobs = 3 * MAX_CACHED_SPECS
+        for number in range(jobs):
+            outbox.add(build_start(f"j{number}"))
+        batch = outbox.take(NOW)
+        specs = {f"j{number}": SPEC for number in range(jobs)}
+        taken = self._deliver(agent, batch._replace(specs=specs))
+        self.assertEqual(taken, [SPEC] * len(batch.orders))
+        self.assertEqual(agent.applied, len(batch.orders))
+        self.assertEqual(len(agent._specs), MAX_CACHED_SPECS)
+
     def test_an_order_is_applied_later_if_its_specification_was_evicted(self):
         """Guards against an order that is never applied."""
         outbox, agent = Outbox(), AgentState(Identity("h", "h:1", "i"))
         outbox.add(build_start())
         self.assertEqual(self._deliver(agent, outbox.take(NOW)), [SPEC])
         outbox.confirm(agent.applied, NOW)
-        agent._specs.clear()
+        agent._specs = SpecCache()
         outbox.add(build_start(index=1))
         self.assertEqual(self._deliver(agent, outbox.take(NOW)), [])
         again = outbox.take(NOW + 2 * RESEND_DELAY)
