Bound the orders that are on their way to a host

With an agent of the previous release, or many large checkpoints, one message of the leader could still be too large to be applied, or take a small link for seconds, and was then repeated whole.

Cause: the orders of one message had no bound.

Change: 512 orders and 1 MiB of specifications and checkpoints are on their way at a time, one order at least. The others follow as the agent confirms.

Evidence: the four new tests use the bounds of this commit. Without it the first message for 1,034 jobs holds all of them.

--- a/src/egretcrank/scheduling/outbox.py
+++ b/src/egretcrank/scheduling/outbox.py
@@ -13,6 +13,11 @@
 MAX_RESEND_DELAY = timedelta(milliseconds=2400)
 # Number of jobs whose specification the agent is assumed to have; it caches more.
 MAX_KNOWN_SPECS = 256
+# Unconfirmed orders on their way at a time, and the bytes of their specifications and
+# checkpoints. An agent of the previous release applies no message that needs over 512
+# specifications.
+MAX_ORDERS_IN_FLIGHT = 512
+MAX_BYTES_IN_FLIGHT = 1024 * 1024
 
 
 class Batch(NamedTuple):
@@ -30,11 +35,16 @@
 
     A specification of up to 4 KB is sent once per job and not with every task. Sending
     it with each task, and all unconfirmed orders with each new one, congested small
-    links until the leader's own calls to the log timed out.
+    links until the leader's own calls to the log timed out. The orders on their way are
+    bounded, as an agent applies a message as a whole; the others follow once it has
+    confirmed some.
     """
 
     def __init__(self) -> None:
         self._unconfirmed: list[NumberedOrder] = []
+        # Orders at the head of the queue that may be on their way, and their bytes.
+        self._window = 0
+        self._window_bytes = 0
         self._sent_number = 0
         self._sent_at = timedelta()
         self._resend_delay = RESEND_DELAY
@@ -54,20 +64,41 @@
             case StopOrder():
                 numbered = NumberedOrder(self.last_number, stop=order)
         self._unconfirmed.append(numbered)
+        self._fill_window()
         return self.last_number
 
+    def _fill_window(self) -> None:
+        """Admit orders to the window, in their order."""
+        while self._window < min(len(self._unconfirmed), MAX_ORDERS_IN_FLIGHT):
+            size = _measure(self._unconfirmed[self._window])
+            if self._window and self._window_bytes + size > MAX_BYTES_IN_FLIGHT:
+                return
+            self._window += 1
+            self._window_bytes += size
+
     def confirm(self, applied: int, now: timedelta) -> None:
         """Remove the orders up to number ``applied``, which the agent has applied."""
         if applied <= self.applied:
             return
         self.applied = applied
-        self._unconfirmed = [o for o in self._unconfirmed if o.number > applied]
+        confirmed = [o for o in self._unconfirmed if o.number <= applied]
+        del self._unconfirmed[: len(confirmed)]
+        self._window = max(0, self._window - len(confirmed))
+        self._window_bytes = sum(map(_measure, self._unconfirmed[: self._window]))
+        self._fill_window()
         self._sent_at = now
         self._resend_delay = RESEND_DELAY
 
     def is_due(self, now: timedelta) -> bool:
         """Return whether there are orders to send or resend."""
-        return self._sent_number < self.last_number or self._is_overdue(now)
+        return self._sent_number < self._window_end or self._is_overdue(now)
+
+    @property
+    def _window_end(self) -> int:
+        """Number of the last order that may be on its way."""
+        if not self._window:
+            return self._sent_number
+        return self._unconfirmed[self._window - 1].number
 
     def _is_overdue(self, now: timedelta) -> bool:
         in_flight = bool(self._unconfirmed) and self._sent_number > self.applied
@@ -83,8 +114,8 @@
         if resending or self._sent_number <= self.applied:
             self._sent_at = now
         first = 0 if resending else self._sent_number
-        orders = [o for o in self._unconfirmed if o.number > first]
-        self._sent_number = self.last_number
+        orders = [o for o in self._unconfirmed[: self._window] if o.number > first]
+        self._sent_number = self._window_end
         return Batch(
             tuple(_strip_spec(order) for order in orders),
             self._select_specs(orders, resending),
@@ -112,6 +143,13 @@
         return specs
 
 
+def _measure(order: NumberedOrder) -> int:
+    """Return the characters that an order may add to a message."""
+    if order.start is None:
+        return 0
+    return len(order.start.spec) + len(order.start.checkpoint)
+
+
 def _strip_spec(order: NumberedOrder) -> NumberedOrder:
     if order.start is None:
         return order
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -6,7 +6,9 @@
 from egretcrank.agent.specs import MAX_CACHED_SPECS, SpecCache
 from egretcrank.agent.state import AgentState, Identity
 from egretcrank.scheduling.outbox import (
+    MAX_BYTES_IN_FLIGHT,
     MAX_KNOWN_SPECS,
+    MAX_ORDERS_IN_FLIGHT,
     MAX_RESEND_DELAY,
     RESEND_DELAY,
     Batch,
@@ -99,6 +101,61 @@
         self.assertEqual(outbox.take(NOW).specs, {"j0": SPEC})
 
 
+class WindowTests(AsyncTestCase):
+    """Limits of the orders on their way."""
+
+    def test_orders_wait_while_as_many_as_an_agent_applies_are_on_their_way(self):
+        """Guards against a message that an agent can't apply, and that is repeated."""
+        outbox = Outbox()
+        for number in range(2 * MAX_ORDERS_IN_FLIGHT + 10):
+            outbox.add(build_start(f"j{number}")._replace(spec="s"))
+        sent = []
+        for window in range(1, 4):
+            batch = outbox.take(NOW)
+            self.assertLessEqual(len(batch.specs), MAX_ORDERS_IN_FLIGHT)
+            sent += list_numbers(batch)
+            self.assertEqual(outbox.take(NOW).orders, ())
+            last = min(window * MAX_ORDERS_IN_FLIGHT, outbox.last_number)
+            self.assertEqual(sent[-1], last)
+            outbox.confirm(last, NOW)
+        self.assertEqual(sent, list(range(1, outbox.last_number + 1)))
+        self.assertFalse(outbox.is_due(NOW + MAX_RESEND_DELAY))
+
+    def test_the_bytes_on_their_way_are_bounded(self):
+        """Guards against a message of many megabytes on a small link."""
+        outbox = Outbox()
+        large = build_start()._replace(checkpoint="c" * (MAX_BYTES_IN_FLIGHT // 4))
+        for number in range(10):
+            outbox.add(large._replace(task=f"j{number}.0.0.0"))
+        numbers = list_numbers(outbox.take(NOW))
+        self.assertEqual(numbers, [1, 2, 3])
+        self.assertEqual(list_numbers(outbox.take(NOW + 2 * RESEND_DELAY)), numbers)
+        outbox.confirm(1, NOW)
+        self.assertEqual(list_numbers(outbox.take(NOW)), [4])
+
+    def test_an_order_that_is_larger_than_the_window_is_sent(self):
+        """Guards against an order that waits for room that never comes."""
+        outbox = Outbox()
+        checkpoint = "c" * (2 * MAX_BYTES_IN_FLIGHT)
+        outbox.add(build_start()._replace(checkpoint=checkpoint))
+        outbox.add(StopOrder("b.0.0.0", 1))
+        self.assertEqual(list_numbers(outbox.take(NOW)), [1])
+        outbox.confirm(1, NOW)
+        self.assertEqual(list_numbers(outbox.take(NOW)), [2])
+
+    def test_confirmations_of_orders_that_are_not_sent_yet_lose_none(self):
+        """Guards against orders that are left out as an agent confirms more of them."""
+        outbox = Outbox()
+        for number in range(MAX_ORDERS_IN_FLIGHT + 5):
+            outbox.add(build_start(f"j{number}")._replace(spec="s"))
+        outbox.take(NOW)
+        outbox.confirm(3, NOW)
+        self.assertEqual(
+            list_numbers(outbox.take(NOW)),
+            [MAX_ORDERS_IN_FLIGHT + number for number in (1, 2, 3)],
+        )
+
+
 class LossTests(AsyncTestCase):
     """Messages that are lost."""
 
