--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -1,7 +1,6 @@
 """State of an agent: its runner, the orders accepted and the reports due."""
 
 import logging
-import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from datetime import timedelta
@@ -9,6 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
+from egretcrank.agent.averages import remove_averaging
 from egretcrank.agent.crashes import Crash, CrashWatch, format_runs
 from egretcrank.agent.identity import RunnerIdentity
 from egretcrank.agent.limits import StartLimits
@@ -43,10 +43,6 @@
 MIN_CLOCK_RATE_RATIO = 0.98
 # Interval between reports that list all running tasks.
 FULL_REPORT_INTERVAL = timedelta(seconds=1)
-# Time constant of the runner's moving average of the measurements, and the shortest
-# time between two polls from which a change can be derived.
-AVERAGING_TIME_CONSTANT = timedelta(milliseconds=450)
-MIN_SAMPLE_INTERVAL = timedelta(milliseconds=120)
 # A runner answers a poll within half a second, or at once. It counts as silent after
 # twice that time without a reply.
 RUNNER_SILENCE_TIMEOUT = timedelta(seconds=1)
@@ -303,19 +299,15 @@
     def _remove_averaging(
         self, task: RunningTask, snapshot: RunnerSnapshot
     ) -> RunningTask:
-        """Undo the runner's averaging of a tail latency.
-
-        The average lags behind its cause by about a second.
-        """
+        """Undo the runner's averaging of a tail latency."""
         profile = self.profiles.get(task.task)
         before = self.raw_measurements.get(Run(task.task, task.run))
         if profile is None or not profile.target_milliseconds or before is None:
             return task
         elapsed = timedelta(milliseconds=snapshot.clock - self._snapshot_clock)
-        if elapsed < MIN_SAMPLE_INTERVAL:
+        measurement = remove_averaging(task.measurement, before, elapsed)
+        if measurement is None:
             return self._running.get(Run(task.task, task.run), task)
-        decay = math.exp(-(elapsed / AVERAGING_TIME_CONSTANT))
-        measurement = max(0.0, (task.measurement - decay * before) / (1 - decay))
         return task._replace(measurement=measurement)
 
     def _list_former_runs(self, poll: int) -> set[Run]:
