Append the records of callers after those of the leader again

The division of appends had put callers' records first. A caller that cancels again, in the append in which the leader deletes the cancellation of a job that never came, would have lost the cancellation after it was acknowledged. Found by reading the change; no run showed it.

The new test fails with the order of the commits before and passes now.

--- a/src/egretcrank/controller/committer.py
+++ b/src/egretcrank/controller/committer.py
@@ -112,7 +112,8 @@
                 changes = self._cell.take_changes()
             entries = [Entry(s.record, on_result=s.on_result) for s in submissions]
             records = [Entry(_encode(c), key=c.key) for c in changes.records]
-            if not self._append([*entries, *records], changes):
+            # A cancellation that a caller stores again outlasts its deletion.
+            if not self._append([*records, *entries], changes):
                 for entry in entries:
                     entry.resolve(False)
                 self._fail_submissions()
