Play other writers, new ids and earlier births in the soak

The soak had one id for all lives of a runner, took calls that name another id, and nobody but the runner reported. A fourth of the seeds plays other writers beside runners, ids of their own or used again, and a time of day that jumps between two lives. The stand-in refuses calls that name another id (421) for all seeds.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -15,6 +15,7 @@
     Daemon,
     SoakCluster,
 )
+from bench.soak.writers import OtherWriter
 from bench.standins.platform_runner import PlatformRunner
 from bench.standins.platform_store import StoreMode
 
@@ -42,6 +43,8 @@
 # Before the next life of a crashed runner, and about its beginning.
 STRIKE_SECONDS = ((0.0, 0.5), (0.5, 4.5))
 CRASH_WAIT_SECONDS = 4.0
+WRITER_SECONDS = (2.0, 12.0)
+CLOCK_STEP_SECONDS = (1.0, 5.0)
 
 
 class FaultInjector:
@@ -102,6 +105,16 @@
                 self._strike_after_crash,
             ]
 
+        # A fourth of the seeds, so that the others play as before.
+        if seed % 4 == 1:
+            self._faults = [
+                *self._faults,
+                *[self._report_beside] * 4,
+                self._begin_life_under_another_id,
+                self._begin_life_under_another_id,
+                self._begin_earlier_life,
+                self._begin_earlier_life,
+            ]
         # A fifth of the seeds, so that the others play as before.
         if seed % 5 == 3:
             self._faults = [*self._faults, *[self._evacuate_or_take_back] * 4]
@@ -127,6 +140,7 @@
         for runner in self._cluster.runners:
             runner.start_delay_probability = 0.0
             runner.late_replies = (0.0, 0.0, 0.0)
+            runner.clock_ahead = 0.0
             runner.begin_life()
         for daemon in self._cluster.daemons:
             daemon.send_signal(signal.SIGCONT)
@@ -240,6 +254,28 @@
                 self._schedule_at(at + down, runner.restart)
             at += down + self._rng.uniform(*LIFE_SECONDS)
 
+    def _report_beside(self) -> None:
+        """Let other writers report to the agents of some runners."""
+        runners = self._cluster.runners
+        for runner in self._rng.sample(runners, self._rng.randint(1, len(runners))):
+            writer = OtherWriter(runner, random.Random(self._rng.random()))
+            writer.run(self._rng.uniform(*WRITER_SECONDS))
+
+    def _begin_life_under_another_id(self) -> None:
+        """Let a runner begin lives under ids of their own, or its first id again."""
+        runner, _ = self._choose_host()
+        runner.has_new_ids = not runner.has_new_ids
+        self._schedule_lives(runner, 0.0)
+
+    def _begin_earlier_life(self) -> None:
+        """Let the time of day jump ahead, and back between two lives."""
+        runner, _ = self._choose_host()
+        runner.clock_ahead = self._rng.uniform(*CLOCK_STEP_SECONDS)
+        runner.restart()
+        back_at = self._rng.uniform(*LIFE_SECONDS)
+        self._schedule_at(back_at, partial(setattr, runner, "clock_ahead", 0.0))
+        self._schedule_lives(runner, back_at)
+
     def _drain_runner(self) -> None:
         """Let a runner drain, unregister, end and begin a life under the same id."""
         runner, _ = self._choose_host()
--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -183,7 +183,12 @@
         self.start_delay_probability = 0.0
         # Share of the replies that are sent late, and their delay in seconds.
         self.late_replies = (0.0, 0.0, 0.0)
-        self._control = control
+        self.control = control
+        # Id of the current life, and whether each life gets one of its own.
+        self.instance = name
+        self.has_new_ids = False
+        # By how much the time of day of its machine is ahead, in seconds.
+        self.clock_ahead = 0.0
         self._observer = observer
         self._random = random.Random(name)
         self._server: Server | None = None
@@ -199,7 +204,8 @@
         # Seconds to be silent for after the first poll of the next agent process.
         self.takeover_silence = 0.0
         self._draining_until: float | None = None
-        self.born = int(time.time() * 1000)
+        self.born = int((time.time() + self.clock_ahead) * 1000)
+        self.instance = f"{self.name}-{self._life}" if self.has_new_ids else self.name
         self._started_at = time.monotonic()
         self.token = 0
         self.deadline = 0
@@ -220,7 +226,9 @@
             self._server = self._listen()
             self._reset()
             life = self._life
-            self._observer.note(f"{self.name} begins a life, born {self.born}")
+            self._observer.note(
+                f"{self.name} begins a life as {self.instance}, born {self.born}"
+            )
             for target, args in (
                 (self._server.serve, ()),
                 (self._send_heartbeats, (life,)),
@@ -336,7 +344,8 @@
             with self._observer.lock:
                 if self._life != life:
                     return
-                heartbeat = self._build_heartbeat()
+                self.sequence += 1
+                heartbeat = self.build_heartbeat()
                 is_silent = time.monotonic() < self.silent_until
                 if not is_silent:
                     self._mark_capacity_shown()
@@ -344,8 +353,8 @@
                 self._call_agent("PUT", heartbeat)
             time.sleep(HEARTBEAT_SECONDS)
 
-    def _build_heartbeat(self) -> dict[str, Any]:
-        self.sequence += 1
+    def build_heartbeat(self) -> dict[str, Any]:
+        """Return the description of the current life."""
         heartbeat = {
             "service": "s",
             "address": self.address,
@@ -366,13 +375,13 @@
 
     def _call_agent(self, method: str, body: dict[str, Any] | None) -> bool:
         """Make one call about this runner and return whether it was answered."""
-        host, _, port = self._control.rpartition(":")
+        host, _, port = self.control.rpartition(":")
         connection = http.client.HTTPConnection(
             host, int(port), timeout=HEARTBEAT_TIMEOUT_SECONDS
         )
         data = None if body is None else msgspec.json.encode(body)
         try:
-            connection.request(method, f"/-/instances/{self.name}", data)
+            connection.request(method, f"/-/instances/{self.instance}", data)
             connection.getresponse().read()
         except (OSError, http.client.HTTPException):
             return False
@@ -388,7 +397,11 @@
         body["arrived_at"] = time.monotonic()
         try:
             self._stay_silent(life)
-            status, answer = self._handle(environ["PATH_INFO"], body, life)
+            expected = environ.get("HTTP_EGRETCRANK_EXPECTED_INSTANCE", self.instance)
+            if expected == self.instance:
+                status, answer = self._handle(environ["PATH_INFO"], body, life)
+            else:
+                status, answer = 421, {"clock_ms": self._read_clock()}
             # Replies that were built earlier may be sent later.
             share, least, most = self.late_replies
             if self._random.random() < share:
