Blame no start for a crash before it is sent

Cause: a start counted as sent from its permission on. Where it found no open connection to its process, the agent polled for one, and a runner that ended meanwhile was blamed on this start alone, at a small age.

The new test failed before (the suspects are not empty).

Change: a start that was not sent is forgotten before the poll. The check of a requirement moves into permit_start, which has the description.

--- a/src/egretcrank/agent/execution.py
+++ b/src/egretcrank/agent/execution.py
@@ -154,6 +154,8 @@
                 case Failure(problem):
                     may_poll = opening_polls < MAX_OPENING_POLLS
                     if was_not_run(problem.kind) and may_poll:
+                        with self._lock:
+                            self._state.mark_unsent(run)
                         opening_polls += 1
                         if self._open_connection():
                             # The runner may be another process, so ask again.
--- a/src/egretcrank/agent/state.py
+++ b/src/egretcrank/agent/state.py
@@ -636,7 +636,8 @@
             return Failure(UNSUITABLE)
         if runner.draining:
             return Failure("draining")
-        if not self._is_runner_suitable(waiting.requirement):
+        requirement = waiting.requirement
+        if requirement is not None and not is_suitable(runner, *requirement):
             return Failure(UNSUITABLE)
         deadline = self.compute_lease_deadline(now)
         if deadline is None:
@@ -646,17 +647,14 @@
         self.mark_sent(run, now)
         return Success(StartPermit(deadline, self.born))
 
-    def _is_runner_suitable(self, requirement: RunnerRequirement | None) -> bool:
-        """Return whether the runner, as it is now, meets the requirement of a start."""
-        if requirement is None:
-            return True
-        runner = self._runner_identity.described
-        return runner is not None and is_suitable(runner, *requirement)
-
     def mark_sent(self, run: Run, now: timedelta) -> None:
         """Record that a start is about to be sent to the runner."""
         self._crash_watch.mark_sent(run, now)
 
+    def mark_unsent(self, run: Run) -> None:
+        """Record that a start that was permitted has not been sent."""
+        self._crash_watch.forget(run)
+
     def mark_start_unanswered(
         self, run: Run, now: timedelta, may_have_run: bool
     ) -> bool:
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -752,6 +752,24 @@
             self.render_crashes(), ['egretcrank_runner_crashes_total{suspects="no"} 1']
         )
 
+    def test_a_start_that_waits_for_a_connection_is_not_blamed(self):
+        """Guards against an innocent task that is given up for a start never sent.
+
+        The runner ends while the agent opens the connection that the start lacks.
+        """
+        self.runner.starts = [fail(ErrorKind.UNREACHABLE)]
+
+        def poll(*_: object) -> Result[RunnerSnapshot, Problem]:
+            failure = Problem(ErrorKind.CALL_TIMEOUT, "test")
+            number = self.state.begin_poll()
+            self.agent._handle_unanswered_poll(failure, number, timed_out=False)
+            return fail(ErrorKind.CONNECTION_REFUSED)
+
+        with patch.object(self.runner, "poll", poll):
+            self.execute(OTHER)
+        self.reply(3.4, born=NEXT)
+        self.assertEqual(self.suspects, [])
+
     def test_a_poll_for_the_outcome_of_a_start_bounds_the_time_of_the_crash(self):
         """Guards against an age that lasts until the next process replies."""
         self.runner.delay = CALL_TIMEOUT
