Parse parts as tasks are parsed, and call agents in one place

Cause: parse_part_key had the check of parse_task_key again, and the other writer of the soak had the call of the stand-in's runner again, found by reading the change.

--- a/bench/soak/writers.py
+++ b/bench/soak/writers.py
@@ -1,17 +1,12 @@
 """Reports of other writers at the agent of a runner."""
 
-import http.client
 import random
 import threading
 import time
-from typing import Any
 
-import msgspec
-
-from bench.standins.platform_runner import PlatformRunner
+from bench.standins.platform_runner import PlatformRunner, call_agent
 
 REPORT_SECONDS = (0.05, 0.4)
-CALL_TIMEOUT_SECONDS = 1.0
 # Times of birth around that of the runner, in milliseconds.
 BIRTH_OFFSETS = (-5000, 5000)
 
@@ -44,21 +39,7 @@
                 "sequence": sequence,
                 "capacity": {"cpu": 100, "mem_mb": 100, "gpu": 0},
             }
-            self._call("PUT", report)
+            call_agent(self._runner.control, "PUT", self._id, report)
             time.sleep(self._random.uniform(*REPORT_SECONDS))
         if self._unregisters:
-            self._call("DELETE", None)
-
-    def _call(self, method: str, body: dict[str, Any] | None) -> None:
-        host, _, port = self._runner.control.rpartition(":")
-        connection = http.client.HTTPConnection(
-            host, int(port), timeout=CALL_TIMEOUT_SECONDS
-        )
-        data = None if body is None else msgspec.json.encode(body)
-        try:
-            connection.request(method, f"/-/instances/{self._id}", data)
-            connection.getresponse().read()
-        except (OSError, http.client.HTTPException):
-            return
-        finally:
-            connection.close()
+            call_agent(self._runner.control, "DELETE", self._id, None)
--- a/bench/standins/platform_runner.py
+++ b/bench/standins/platform_runner.py
@@ -375,19 +375,7 @@
 
     def _call_agent(self, method: str, body: dict[str, Any] | None) -> bool:
         """Make one call about this runner and return whether it was answered."""
-        host, _, port = self.control.rpartition(":")
-        connection = http.client.HTTPConnection(
-            host, int(port), timeout=HEARTBEAT_TIMEOUT_SECONDS
-        )
-        data = None if body is None else msgspec.json.encode(body)
-        try:
-            connection.request(method, f"/-/instances/{self.instance}", data)
-            connection.getresponse().read()
-        except (OSError, http.client.HTTPException):
-            return False
-        finally:
-            connection.close()
-        return True
+        return call_agent(self.control, method, self.instance, body)
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Handle one call of the agent."""
@@ -569,5 +557,24 @@
         self._observer.note(f"{self.name} ends {task}/{run.run}: {outcome}")
 
 
+def call_agent(
+    control: str, method: str, instance: str, body: dict[str, Any] | None
+) -> bool:
+    """Make one call about an instance and return whether the agent answered it."""
+    host, _, port = control.rpartition(":")
+    connection = http.client.HTTPConnection(
+        host, int(port), timeout=HEARTBEAT_TIMEOUT_SECONDS
+    )
+    data = None if body is None else msgspec.json.encode(body)
+    try:
+        connection.request(method, f"/-/instances/{instance}", data)
+        connection.getresponse().read()
+    except (OSError, http.client.HTTPException):
+        return False
+    finally:
+        connection.close()
+    return True
+
+
 def _read_spec(spec: str) -> _Spec:
     return msgspec.json.decode(spec, type=_Spec)
--- a/src/egretcrank/scheduling/records.py
+++ b/src/egretcrank/scheduling/records.py
@@ -13,8 +13,8 @@
 from egretcrank.errors.kinds import ErrorKind, Problem
 from egretcrank.policy.crashes import MAX_TIMESTAMP, Crash
 from egretcrank.scheduling.definitions import (
-    MAX_INDEX_DIGITS,
     JobDefinition,
+    parse_task_key,
 )
 from egretcrank.wire.bounds import Count, Integer
 from egretcrank.wire.hosting import Pressure
@@ -193,12 +193,9 @@
 
 def parse_part_key(name: str) -> PartKey | None:
     """Parse the name of a part; return ``None`` if it is malformed."""
-    fields = name.split(".")
-    if len(fields) != 4 or not all(
-        field.isdecimal() and len(field) <= MAX_INDEX_DIGITS for field in fields[1:]
-    ):
-        return None
-    return PartKey(fields[0], *map(int, fields[1:]))
+    # The names of parts are formed like those of tasks.
+    key = parse_task_key(name)
+    return PartKey(*key) if key is not None else None
 
 
 def encode_record(record: Record) -> bytes:
