--- a/review/common-3/cluster.py
+++ b/review/common-3/cluster.py
@@ -107,10 +107,54 @@
             self.process.wait()
 
 
+class SharingRunner(PlatformRunner):
+    """Runner that reports tail latencies, and paces tasks that fill.
+
+    ``spec`` also has the ``tail`` of a task that serves, in milliseconds, and the
+    ``use`` of a task that fills, in thousandths of a core at full pace.
+    """
+
+    def _start_run(self, body: dict, clock: int) -> tuple[int, dict]:
+        self.specs[body["task"]] = json.loads(body["spec"])
+        self.paces[body["task"]] = 100
+        return super()._start_run(body, clock)
+
+    def _handle_order(self, path: str, body: dict) -> tuple[int, dict]:
+        status, answer = super()._handle_order(path, body)
+        if path == "/-/pace" and status == 200:
+            self.paces[body["task"]] = body["percent"]
+        return status, answer
+
+    def _reset(self) -> None:
+        super()._reset()
+        self.specs: dict[str, dict] = {}
+        self.paces: dict[str, int] = {}
+
+    def _build_status(self) -> dict:
+        status = super()._build_status()
+        status["running"] = [
+            [task, run, saved, 100, self._measure(task)]
+            for task, run, saved, *_ in status["running"]
+        ]
+        return status
+
+    def _measure(self, task: str) -> int:
+        spec = self.specs[task]
+        return spec.get("tail") or int(spec.get("use", 0) * self.paces[task] / 100)
+
+
 class Cluster:
     """Controllers, agents, runners and the log service."""
 
-    def __init__(self, controllers: int, hosts: int, cpu: int, seed: int = 1) -> None:
+    def __init__(
+        self,
+        controllers: int,
+        hosts: int,
+        cpu: int,
+        seed: int = 1,
+        runner_class: type[PlatformRunner] = PlatformRunner,
+    ) -> None:
+        self._runner_class = runner_class
         self._directory = tempfile.TemporaryDirectory(prefix="egretcrank-review-")
         self.folder = Path(self._directory.name)
         self.observer = Observer()
@@ -145,7 +189,7 @@
         fields = self._build_fields(f"side-{number}")
         fields["app"], fields["listen_addresses.control"] = find_address(), find_address()
         control = fields["listen_addresses.control"]
-        runner = PlatformRunner(f"i-{number}", fields["app"], control, cpu, self.observer)
+        runner = self._runner_class(f"i-{number}", fields["app"], control, cpu, self.observer)
         self.runners.append(runner)
         return Daemon("agent", f"side-{number}", fields, self.folder)
 
